--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Targets for people and for CI. Everything is built from the Go module alone.
+
+GOLANGCI_LINT_VERSION := v2.15.0
+BIN := $(CURDIR)/.bin
+LINT := $(BIN)/golangci-lint
+
+.PHONY: build test lint format tools clean
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+test:
+	go test ./...
+
+tools: $(LINT)
+
+$(LINT):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+format: tools
+	$(LINT) fmt ./...
+
+lint: tools
+	$(LINT) fmt --diff ./...
+	$(LINT) run ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/cmd/hickorynotch/main.go
@@ -0,0 +1,19 @@
+// Command hickorynotch is a query tier over many shards: the entry instance and the tools of its operators.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&eventsCommand{}, "")
+
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/internal/run/event/instance.go
@@ -0,0 +1,12 @@
+package event
+
+// Events of an instance's life.
+var (
+	InstanceStarting = declare(1001, "InstanceStarting", Info, "An instance starts with the settings shown.")
+	InstanceReady    = declare(1002, "InstanceReady", Info, "The instance has a configuration and reports ready to the balancer.")
+	InstanceNotReady = declare(1003, "InstanceNotReady", Warning, "The instance reports not ready; Reason says why.")
+	InstanceStopping = declare(1004, "InstanceStopping", Info, "A graceful stop has begun; requests in flight are finished.")
+	InstanceStopped  = declare(1005, "InstanceStopped", Info, "The instance has stopped; InFlight counts requests cut at the bound.")
+	InstanceFroze    = declare(1006, "InstanceFroze", Warning, "The process did not run for the time shown; what it knew is refreshed.")
+	ServiceFailed    = declare(1007, "ServiceFailed", Error, "A supervised part of the instance failed and is restarted.")
+)
--- /dev/null
+++ b/internal/wire/target/failure.go
@@ -0,0 +1,74 @@
+package target
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Outcome says whether a query that gave no reply ran.
+type Outcome string
+
+// The outcomes of a failed attempt.
+const (
+	// NotRun means that the query certainly did not run.
+	NotRun Outcome = "NotRun"
+	// Unknown means that the query may have run.
+	Unknown Outcome = "Unknown"
+)
+
+// Code names the reason of a failure.
+type Code string
+
+// The reasons that a target gives, all of them NotRun.
+const (
+	Shed               Code = "Shed"
+	Draining           Code = "Draining"
+	TooLate            Code = "TooLate"
+	Overconnected      Code = "Overconnected"
+	VersionUnavailable Code = "VersionUnavailable"
+	BadQuery           Code = "BadQuery"
+)
+
+// The reasons that this side finds.
+const (
+	Unreachable Code = "Unreachable" // no connection could be opened
+	Broken      Code = "Broken"      // the connection failed after the first byte was written
+	Stalled     Code = "Stalled"     // the time ran out before any byte of a reply
+	Cancelled   Code = "Cancelled"   // the caller went away or a hedge won
+	Malformed   Code = "Malformed"   // the reply does not decode, is truncated or too large
+	Mismatched  Code = "Mismatched"  // the reply belongs to another query
+	QueueFull   Code = "QueueFull"   // the owner's queue for the target is at its bound
+)
+
+// Refusal is the body with which a target says that a query did not run.
+type Refusal struct {
+	Code    Code
+	Message string
+	// NotRun is true when the target vouches that the query did not run.
+	NotRun bool
+	Report Report
+}
+
+// Failure is the error of an attempt that gave no reply.
+type Failure struct {
+	Outcome Outcome
+	Code    Code
+	Message string
+	// Report is set when the target sent one.
+	Report *Report
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%s (%s): %s", f.Code, f.Outcome, f.Message)
+}
+
+// OutcomeOf returns the outcome that err stands for. An error that is no Failure is Unknown, the safe assumption.
+func OutcomeOf(err error) Outcome {
+	var failure *Failure
+	if errors.As(err, &failure) {
+		return failure.Outcome
+	}
+
+	return Unknown
+}
