Choose replicas by what the instance sees itself

A replica's own report of its load lags or misleads, so the choice needs figures of this side: requests in flight, recent latency and failures. world/link keeps them for each target, with ejection after 3 failures in a row and a warm-up; policy/routing compares two random replicas and prefers the own availability zone up to a factor of 2.

--- /dev/null
+++ b/internal/policy/routing/routing.go
@@ -0,0 +1,123 @@
+// Package routing chooses the replica that a shard request goes to.
+//
+// The rule: of two replicas drawn at random, the one with the lower score, which is (requests in flight + 1) × recent latency
+// as this instance sees it. Two random choices avoid that all instances send to the one target that looks best. A replica in
+// the instance's own availability zone is taken unless its score is more than ZoneFactor times that of the other. Ejected
+// replicas are left out, unless more than half of the shard's replicas are ejected: then the fault is more likely on this
+// side, and ejection is ignored.
+//
+// The router keeps no state of its own beside its source of randomness.
+package routing
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+	"github.com/hickorynotch/hickorynotch/internal/world/link"
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
+)
+
+// ZoneFactor is how much worse a replica in the own zone may score and still be taken. Crossing zones costs about 2 ms for the round trip
+// and fails when zones are partitioned.
+const ZoneFactor = 2.0
+
+// Router chooses replicas. It is safe for concurrent use.
+type Router struct {
+	zone     zone.Zone
+	standing func(netip.AddrPort) link.Standing
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// Option configures a Router.
+type Option func(*Router)
+
+// WithSeed makes the random choices repeatable.
+func WithSeed(seed uint64) Option {
+	return func(r *Router) { r.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a router for an instance in own that learns how each target stands from standing.
+func New(own zone.Zone, standing func(netip.AddrPort) link.Standing, options ...Option) *Router {
+	r := &Router{zone: own, standing: standing, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	for _, option := range options {
+		option(r)
+	}
+
+	return r
+}
+
+// candidate is a replica with its standing at the moment of the choice.
+type candidate struct {
+	replica  contract.Replica
+	standing link.Standing
+}
+
+// Choose returns a replica that is not in tried. It returns false when there is none.
+func (r *Router) Choose(replicas []contract.Replica, tried []netip.AddrPort) (contract.Replica, bool) {
+	// Almost all shards have few replicas, so the candidates fit on the stack.
+	var space [8]candidate
+	candidates := space[:0]
+	ejected := 0
+	for _, replica := range replicas {
+		standing := r.standing(replica.Address)
+		if standing.Ejected {
+			ejected++
+		}
+		if !slices.Contains(tried, replica.Address) {
+			candidates = append(candidates, candidate{replica: replica, standing: standing})
+		}
+	}
+	if 2*ejected <= len(replicas) {
+		candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.standing.Ejected })
+	}
+
+	switch len(candidates) {
+	case 0:
+		return contract.Replica{}, false
+	case 1:
+		return candidates[0].replica, true
+	}
+	first, second := r.draw(len(candidates))
+
+	return r.better(candidates[first], candidates[second]).replica, true
+}
+
+// draw returns two different indices below n.
+func (r *Router) draw(n int) (int, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := r.random.IntN(n)
+	second := r.random.IntN(n - 1)
+	if second >= first {
+		second++
+	}
+
+	return first, second
+}
+
+func (r *Router) better(a, b candidate) candidate {
+	scoreA, scoreB := r.score(a), r.score(b)
+	switch {
+	case scoreA < scoreB:
+		return a
+	case scoreB < scoreA:
+		return b
+	case b.standing.ReportedInFlight < a.standing.ReportedInFlight:
+		return b
+	default:
+		return a
+	}
+}
+
+func (r *Router) score(c candidate) float64 {
+	if c.replica.AvailabilityZone == r.zone {
+		return c.standing.Score / ZoneFactor
+	}
+
+	return c.standing.Score
+}
--- /dev/null
+++ b/internal/world/link/link_test.go
@@ -0,0 +1,107 @@
+package link_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/wire/target"
+	"github.com/hickorynotch/hickorynotch/internal/world/link"
+)
+
+func TestLink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "link")
+}
+
+var address = netip.MustParseAddrPort("127.0.0.1:9")
+
+var _ = Describe("Link", func() {
+	var (
+		clock *clockwork.FakeClock
+		table *link.Table
+	)
+	BeforeEach(func() {
+		clock = clockwork.NewFakeClock()
+		table = link.NewTable(timer.New(timer.WithClock(clock)))
+	})
+	attempt := func(took time.Duration, result link.Result) {
+		use := table.Begin(address)
+		clock.Advance(took)
+		use.End(result)
+	}
+	standing := func() link.Standing { return table.Link(address).Standing() }
+
+	DescribeTable("ejection",
+		func(results []link.Result, ejected bool) {
+			for _, result := range results {
+				attempt(time.Millisecond, result)
+			}
+			Expect(standing().Ejected).To(Equal(ejected))
+		},
+		Entry("a lost target is left out", []link.Result{link.Failed, link.Failed, link.Failed}, true),
+		Entry("two failures are not enough", []link.Result{link.Failed, link.Failed}, false),
+		Entry("an answer in between starts the count again",
+			[]link.Result{link.Failed, link.Failed, link.Answered, link.Failed}, false),
+		Entry("stalled reused connections do not eject a target that is well",
+			[]link.Result{link.FailedReused, link.FailedReused, link.FailedReused, link.FailedReused}, false),
+		Entry("refusals do not eject a target that sheds",
+			[]link.Result{link.Refused, link.Refused, link.Refused}, false),
+	)
+
+	It("doubles the ejection of a target that keeps failing, up to the bound", func() {
+		var lengths []time.Duration
+		for range 8 {
+			for range link.EjectAfter {
+				attempt(0, link.Failed)
+			}
+			began := clock.Now()
+			for standing().Ejected {
+				clock.Advance(500 * time.Millisecond)
+			}
+			lengths = append(lengths, clock.Now().Sub(began))
+		}
+		Expect(lengths).To(HaveExactElements(1*time.Second, 2*time.Second, 4*time.Second, 8*time.Second,
+			16*time.Second, link.MaxEjection, link.MaxEjection, link.MaxEjection))
+	})
+
+	It("scores requests in flight and latency, so that a slow or busy target gets less", func() {
+		attempt(10*time.Millisecond, link.Answered)
+		idle := standing().Score
+		use := table.Begin(address)
+		Expect(standing().Score).To(BeNumerically("~", 2*idle, idle/10))
+		clock.Advance(100 * time.Millisecond)
+		use.End(link.Answered)
+		Expect(standing().Score).To(BeNumerically(">", 4*idle))
+	})
+
+	It("counts an end once, so that a hedge's loser does not lower the count twice", func() {
+		use := table.Begin(address)
+		use.End(link.Abandoned)
+		before := standing().Score
+		use.End(link.Abandoned)
+		Expect(standing().Score).To(Equal(before))
+	})
+
+	It("warms a cold target from a tenth of its weight", func() {
+		warm := standing().Score
+		table.Learn(address, &target.Report{Incarnation: 1, Cold: true})
+		Expect(standing().Score).To(BeNumerically("~", warm/link.ColdWeight, warm/100))
+		clock.Advance(link.WarmUp)
+		Expect(standing().Score).To(BeNumerically("~", warm, warm/100))
+	})
+
+	It("forgets the failures of an earlier incarnation", func() {
+		table.Learn(address, &target.Report{Incarnation: 1})
+		for range link.EjectAfter {
+			attempt(0, link.Failed)
+		}
+		table.Learn(address, &target.Report{Incarnation: 2})
+		Expect(standing().Ejected).To(BeFalse())
+	})
+})
