--- /dev/null
+++ b/internal/run/metric/metric.go
@@ -0,0 +1,175 @@
+// Package metric holds the OpenTelemetry instruments of a process.
+//
+// A Set is made once and handed to the parts that record. Durations of requests are kept as a histogram for each caller and class,
+// those of target requests for each service. All metrics are served as Prometheus text:
+//
+//	metrics, err := metric.New()
+//	metrics.Request(ctx, "chattimala", contract.FullPage, "Answered", took)
+//	http.Handle("/metrics", metrics.Handler())
+//
+// The nil Set records nothing.
+package metric
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	otel "go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("metric")
+
+// latencyBounds are bucket limits in seconds. They are dense around the deadlines of 50 to 500 ms that contracts declare.
+var latencyBounds = []float64{
+	0.001, 0.002, 0.004, 0.006, 0.010, 0.015, 0.025, 0.040, 0.060, 0.085, 0.120, 0.170, 0.250, 0.400, 0.700, 1.2, 2.5, 5,
+}
+
+// coverageBounds separate the nearly whole answers from the thin ones.
+var coverageBounds = []float64{0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999}
+
+// Set is the instruments of one process.
+type Set struct {
+	provider *sdk.MeterProvider
+	handler  http.Handler
+	meter    otel.Meter
+
+	requests otel.Float64Histogram
+	coverage otel.Float64Histogram
+	attempts otel.Float64Histogram
+	worth    otel.Float64Counter
+	extra    otel.Int64Counter
+	bounds   otel.Int64Counter
+}
+
+// New returns a Set with a registry of its own.
+func New() (s *Set, err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	if err != nil {
+		return nil, err
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	s = &Set{
+		provider: provider,
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		meter:    provider.Meter("hickorynotch"),
+	}
+
+	return s, s.instruments()
+}
+
+func (s *Set) instruments() (err error) {
+	if s.requests, err = s.meter.Float64Histogram("hickorynotch.request.duration",
+		otel.WithDescription("Time from a caller's request to its answer or refusal, by caller, class and result."),
+		otel.WithUnit("s"), otel.WithExplicitBucketBoundaries(latencyBounds...)); err != nil {
+		return err
+	}
+	if s.coverage, err = s.meter.Float64Histogram("hickorynotch.answer.coverage",
+		otel.WithDescription("Fraction of the asked shards that an answer covers, by caller and class."),
+		otel.WithUnit("1"), otel.WithExplicitBucketBoundaries(coverageBounds...)); err != nil {
+		return err
+	}
+	if s.attempts, err = s.meter.Float64Histogram("hickorynotch.target.duration",
+		otel.WithDescription("Time of one target request, by service and result."),
+		otel.WithUnit("s"), otel.WithExplicitBucketBoundaries(latencyBounds...)); err != nil {
+		return err
+	}
+	if s.worth, err = s.meter.Float64Counter("hickorynotch.request.worth",
+		otel.WithDescription("Declared worth of requests, by caller, class and result.")); err != nil {
+		return err
+	}
+	if s.extra, err = s.meter.Int64Counter("hickorynotch.target.extra",
+		otel.WithDescription("Target requests beyond the first for a shard, by service and kind (Hedge, Retry, Restart).")); err != nil {
+		return err
+	}
+	s.bounds, err = s.meter.Int64Counter("hickorynotch.bound.reached",
+		otel.WithDescription("How often a queue, pool or map was at its bound, by name."))
+
+	return err
+}
+
+// Handler serves the metrics as Prometheus text.
+func (s *Set) Handler() http.Handler {
+	return s.handler
+}
+
+// Shutdown flushes and stops the provider.
+func (s *Set) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	return s.provider.Shutdown(ctx)
+}
+
+// Request records a caller's request that took the given time and ended with result.
+func (s *Set) Request(ctx context.Context, caller string, class contract.Class, result string, worth float64, took time.Duration) {
+	if s == nil {
+		return
+	}
+	labels := otel.WithAttributes(attribute.String("caller", caller), attribute.String("class", string(class)),
+		attribute.String("result", result))
+	s.requests.Record(ctx, took.Seconds(), labels)
+	s.worth.Add(ctx, worth, labels)
+}
+
+// Coverage records the covered fraction of an answer.
+func (s *Set) Coverage(ctx context.Context, caller string, class contract.Class, fraction float64) {
+	if s == nil {
+		return
+	}
+	s.coverage.Record(ctx, fraction,
+		otel.WithAttributes(attribute.String("caller", caller), attribute.String("class", string(class))))
+}
+
+// Attempt records one target request.
+func (s *Set) Attempt(ctx context.Context, service, result string, took time.Duration) {
+	if s == nil {
+		return
+	}
+	s.attempts.Record(ctx, took.Seconds(),
+		otel.WithAttributes(attribute.String("service", service), attribute.String("result", result)))
+}
+
+// Extra records a target request beyond the first for its shard.
+func (s *Set) Extra(ctx context.Context, service, kind string) {
+	if s == nil {
+		return
+	}
+	s.extra.Add(ctx, 1, otel.WithAttributes(attribute.String("service", service), attribute.String("kind", kind)))
+}
+
+// BoundReached records that the named queue, pool or map was at its bound.
+func (s *Set) BoundReached(ctx context.Context, name string) {
+	if s == nil {
+		return
+	}
+	s.bounds.Add(ctx, 1, otel.WithAttributes(attribute.String("name", name)))
+}
+
+// Observe reports a value that is read when metrics are collected, such as the revision in force.
+func (s *Set) Observe(name, description string, read func() float64) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	if s == nil {
+		return nil
+	}
+	_, err = s.meter.Float64ObservableGauge(name, otel.WithDescription(description),
+		otel.WithFloat64Callback(func(_ context.Context, o otel.Float64Observer) error {
+			o.Observe(read())
+
+			return nil
+		}))
+
+	return err
+}
