--- a/internal/wire/target/failure.go
+++ b/internal/wire/target/failure.go
@@ -40,15 +40,47 @@
 	QueueFull   Code = "QueueFull"   // the owner's queue for the target is at its bound
 )
 
-// Refusal is the body with which a target says that a query did not run.
+// Refusal is the body with which a target says that a query did not run. The identity fields repeat those of the query,
+// because a doubled refusal that arrives on a reused connection must not be taken for the refusal of the next query.
 type Refusal struct {
-	Code    Code
-	Message string
+	RequestID string
+	AttemptID string
+	Code      Code
+	Message   string
 	// NotRun is true when the target vouches that the query did not run.
 	NotRun bool
 	Report Report
 }
 
+// UnmarshalJSON decodes and checks r.
+func (r *Refusal) UnmarshalJSON(data []byte) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	type plain Refusal
+	if err := decodeStrict(data, (*plain)(r)); err != nil {
+		return err
+	}
+	switch r.Code {
+	case Shed, Draining, TooLate, Overconnected, VersionUnavailable, BadQuery:
+	default:
+		return fmt.Errorf("Code: %q is not a code of a refusal", r.Code)
+	}
+
+	return r.Report.Check()
+}
+
+// Matches returns an error that names the first identity field in which r differs from q.
+func (r *Refusal) Matches(q *Query) error {
+	switch {
+	case r.RequestID != q.RequestID:
+		return fmt.Errorf("refusal of request %q, want %q", r.RequestID, q.RequestID)
+	case r.AttemptID != q.AttemptID:
+		return fmt.Errorf("refusal of attempt %q, want %q", r.AttemptID, q.AttemptID)
+	}
+
+	return nil
+}
+
 // Failure is the error of an attempt that gave no reply.
 type Failure struct {
 	Outcome Outcome
