Add the stand-in target

Change: internal/standin/target serves POST /query and GET /status for one service with slots, a queue, a connection limit, seeded service times, cold start, drain, cancellation and deadlines. Hits depend on version, shard and text alone and name their version. cmd/standin has the subcommand target.

SilenceConnections spares the connection that carries the change, so that its sender gets an answer.

The fault Duplicate makes net/http print "Unsolicited response" to the standard logger.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,19 @@
+// Command standin runs the stand-ins for outside systems that tests, demonstrations and the bench use.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&targetCommand{}, "")
+
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/internal/standin/target/listener.go
@@ -0,0 +1,177 @@
+package target
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// listener accepts connections for a Target and can close and open its port again.
+type listener struct {
+	target  *Target
+	address net.Addr
+
+	mu      sync.Mutex
+	inner   net.Listener  // nil while connections are refused
+	changed chan struct{} // closed and replaced when inner changes
+	closed  bool
+}
+
+func newListener(inner net.Listener, t *Target) *listener {
+	return &listener{target: t, address: inner.Addr(), inner: inner, changed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		l.mu.Lock()
+		inner, changed, closed := l.inner, l.changed, l.closed
+		l.mu.Unlock()
+		switch {
+		case closed:
+			return nil, net.ErrClosed
+		case inner == nil:
+			<-changed
+			continue
+		}
+		c, err := inner.Accept()
+		if err == nil {
+			return l.target.track(c), nil
+		}
+		select {
+		case <-changed:
+		default:
+			return nil, err
+		}
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+
+	return l.replace(nil)
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr {
+	return l.address
+}
+
+// refuse closes the port, or opens it again.
+func (l *listener) refuse(on bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || on == (l.inner == nil) {
+		return nil
+	}
+	if on {
+		return l.replace(nil)
+	}
+	inner, err := (&net.ListenConfig{}).Listen(context.Background(), l.address.Network(), l.address.String())
+	if err != nil {
+		return err
+	}
+
+	return l.replace(inner)
+}
+
+// replace swaps the inner listener. l.mu is held.
+func (l *listener) replace(inner net.Listener) error {
+	old := l.inner
+	l.inner = inner
+	close(l.changed)
+	l.changed = make(chan struct{})
+	if old == nil {
+		return nil
+	}
+
+	return old.Close()
+}
+
+// conn is an accepted connection that can go silent.
+type conn struct {
+	net.Conn
+	target *Target
+	over   bool // beyond the connection limit
+	silent atomic.Bool
+	opened sync.Once
+}
+
+// track wraps an accepted connection.
+func (t *Target) track(inner net.Conn) *conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := &conn{Conn: inner, target: t, over: t.connections > 0 && len(t.conns) >= t.connections}
+	t.conns[c] = struct{}{}
+	t.journal.connections++
+
+	return c
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	c.opened.Do(func() {
+		if c.target.connectTime > 0 {
+			<-c.target.timers.After(c.target.connectTime)
+		}
+	})
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+		c.target.mu.Lock()
+		c.target.journal.silenced++
+		c.target.mu.Unlock()
+	}
+}
+
+// Write implements net.Conn. A silent connection takes the bytes and drops them.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.target.mu.Lock()
+	delete(c.target.conns, c)
+	c.target.mu.Unlock()
+
+	return c.Conn.Close()
+}
+
+// reset closes the connection so that the peer sees a reset.
+func reset(c net.Conn) {
+	inner := c
+	if wrapped, ok := c.(*conn); ok {
+		inner = wrapped.Conn
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// closeConnections closes all connections, those that a fault took over from net/http included.
+func (t *Target) closeConnections() {
+	t.mu.Lock()
+	open := make([]*conn, 0, len(t.conns))
+	for c := range t.conns {
+		open = append(open, c)
+	}
+	t.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/target/record.go
@@ -0,0 +1,92 @@
+package target
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	wire "github.com/hickorynotch/hickorynotch/internal/wire/target"
+)
+
+const (
+	// Records is the number of records of every index version.
+	Records = 2000
+	// One record in matching matches a given text.
+	matching = 4
+)
+
+type part struct{ shard, shards int }
+
+// Key returns the key of record i.
+func Key(i int) string {
+	return fmt.Sprintf("record-%06d", i)
+}
+
+func keysOf(p part) []string {
+	var keys []string
+	for i := range Records {
+		if key := Key(i); wire.ShardOf(key, p.shards) == p.shard {
+			keys = append(keys, key)
+		}
+	}
+
+	return keys
+}
+
+// index lists the keys of a holding ahead of its first query. t.mu is held or t is not yet shared.
+func (t *Target) index(h wire.Holding) {
+	p := part{h.Shard, h.Shards}
+	if t.keys[p] == nil {
+		t.keys[p] = keysOf(p)
+	}
+}
+
+// Hits returns the hits that every stand-in gives for text on a shard, best first. Tests compare answers with it.
+func Hits(version uint64, shard, shards int, text string, limit int) []wire.Hit {
+	return search(keysOf(part{shard, shards}), version, text, limit)
+}
+
+// Record returns the record with the given key as of a version. Every key exists in the shard that ShardOf names.
+func Record(version uint64, key string) wire.Hit {
+	return wire.Hit{Key: key, Score: 1, Body: body(version, key)}
+}
+
+func search(keys []string, version uint64, text string, limit int) []wire.Hit {
+	hits := []wire.Hit{}
+	for _, key := range keys {
+		sum := xxhash.Sum64String(text + "\x00" + key)
+		if sum%matching == 0 {
+			hits = append(hits, wire.Hit{Key: key, Score: float64(sum>>11) / (1 << 53), Body: body(version, key)})
+		}
+	}
+	slices.SortFunc(hits, func(a, b wire.Hit) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Key, b.Key))
+	})
+	if limit > 0 && len(hits) > limit {
+		hits = hits[:limit]
+	}
+
+	return hits
+}
+
+func body(version uint64, key string) string {
+	return fmt.Sprintf("version %d of %s", version, key)
+}
+
+// hits answers q, whose holding was checked.
+func (t *Target) hits(q *wire.Query) []wire.Hit {
+	if q.Key != "" {
+		if wire.ShardOf(q.Key, q.Shards) != q.Shard {
+			return []wire.Hit{}
+		}
+
+		return []wire.Hit{Record(q.Version, q.Key)}
+	}
+	t.mu.Lock()
+	keys := t.keys[part{q.Shard, q.Shards}]
+	t.mu.Unlock()
+
+	return search(keys, q.Version, q.Text, q.Limit)
+}
--- /dev/null
+++ b/internal/standin/target/serve.go
@@ -0,0 +1,344 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	wire "github.com/hickorynotch/hickorynotch/internal/wire/target"
+)
+
+// Paths of the HTTP interface that a real target does not have.
+const (
+	JournalPath = "/journal"
+	FaultPath   = "/fault"
+)
+
+const (
+	maxBody       = 64 << 10
+	headerTimeout = 10 * time.Second
+)
+
+type connKey struct{}
+
+// Handler returns the HTTP interface. Faults of connections need Serve.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.QueryPath, t.serveQuery)
+	mux.HandleFunc("GET "+wire.StatusPath, func(w http.ResponseWriter, r *http.Request) {
+		if t.faults().Freeze {
+			<-r.Context().Done()
+			return
+		}
+		writeJSON(w, http.StatusOK, t.Report())
+	})
+	mux.HandleFunc("GET "+JournalPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.Journal())
+	})
+	mux.HandleFunc("GET "+FaultPath, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.faults())
+	})
+	mux.HandleFunc("PUT "+FaultPath, t.serveFault)
+
+	return mux
+}
+
+// Serve serves connections from l until ctx is done. It then refuses queries as draining for the grace time and closes
+// all connections. A Target serves one listener.
+func (t *Target) Serve(ctx context.Context, l net.Listener) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	wrapped := newListener(l, t)
+	t.mu.Lock()
+	t.listener = wrapped
+	refused := t.fault.RefuseConnections
+	t.mu.Unlock()
+	if err := wrapped.refuse(refused); err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           t.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		// Connections that faults break are expected.
+		ErrorLog: log.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+	}
+	defer t.closeConnections()
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(wrapped) }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	t.leaving = true
+	t.mu.Unlock()
+	if t.grace > 0 {
+		<-t.timers.After(t.grace)
+	}
+	err = server.Close()
+	if serveErr := <-done; !errors.Is(serveErr, http.ErrServerClosed) {
+		err = errors.Join(err, serveErr)
+	}
+
+	return err
+}
+
+func (t *Target) serveFault(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var f Fault
+	if err == nil {
+		err = json.Unmarshal(body, &f)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	carrier, _ := r.Context().Value(connKey{}).(*conn)
+	if err := t.setFault(f, carrier); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (t *Target) serveQuery(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var q wire.Query
+	if err == nil {
+		err = json.Unmarshal(body, &q)
+	}
+	if err != nil {
+		t.refuse(w, &q, wire.BadQuery, true, err.Error())
+		return
+	}
+	ctx, cancel := t.timers.WithTimeout(r.Context(), q.Timeout.Std())
+	defer cancel()
+	f, previous := t.receive(&q)
+	if f.Freeze {
+		<-r.Context().Done()
+		return
+	}
+	if code, message := t.admit(r, &q); code != "" {
+		t.refuse(w, &q, code, true, message)
+		return
+	}
+	if f.ResetBeforeRun {
+		abort(w)
+	}
+	if code := t.acquire(ctx); code != "" {
+		t.refuse(w, &q, code, true, "no slot for the query")
+		return
+	}
+	if !t.run(ctx, &q) {
+		t.refuse(w, &q, wire.TooLate, false, "the query was cancelled while it ran")
+		return
+	}
+	t.reply(w, r, &q, f, previous)
+}
+
+// receive counts q and returns the faults in force and the query before it.
+func (t *Target) receive(q *wire.Query) (Fault, wire.Query) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.journal.received++
+	previous := t.previous
+	t.previous = *q
+
+	return t.fault, previous
+}
+
+// admit returns the reason to refuse q before it waits for a slot, if there is one.
+func (t *Target) admit(r *http.Request, q *wire.Query) (wire.Code, string) {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case c != nil && c.over:
+		return wire.Overconnected, fmt.Sprintf("over %d connections", t.connections)
+	case q.Service != t.service:
+		return wire.BadQuery, fmt.Sprintf("Service: this target serves %q", t.service)
+	case t.draining():
+		return wire.Draining, "draining"
+	case t.fault.Shed:
+		return wire.Shed, "shedding"
+	case !slices.Contains(t.holdings, wire.Holding{Version: q.Version, Shard: q.Shard, Shards: q.Shards}):
+		return wire.VersionUnavailable, fmt.Sprintf("version %d shard %d of %d is not held", q.Version, q.Shard, q.Shards)
+	}
+
+	return "", ""
+}
+
+// acquire takes a slot, which run releases. It returns a code when the queue is full or ctx ends first.
+func (t *Target) acquire(ctx context.Context) wire.Code {
+	t.mu.Lock()
+	if ctx.Err() != nil {
+		t.mu.Unlock()
+		return wire.TooLate
+	}
+	if t.running < t.slots {
+		t.running++
+		t.mu.Unlock()
+		return ""
+	}
+	if len(t.waiting) >= t.queue {
+		t.mu.Unlock()
+		return wire.Shed
+	}
+	granted := make(chan struct{})
+	t.waiting = append(t.waiting, granted)
+	t.mu.Unlock()
+
+	select {
+	case <-granted:
+		return ""
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := slices.Index(t.waiting, granted); i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
+	} else {
+		t.release()
+	}
+
+	return wire.TooLate
+}
+
+// release passes the slot on. t.mu is held.
+func (t *Target) release() {
+	if len(t.waiting) > 0 {
+		close(t.waiting[0])
+		t.waiting = slices.Delete(t.waiting, 0, 1)
+		return
+	}
+	t.running--
+}
+
+// run spends the service time of q in the slot and reports whether q finished before ctx ended.
+func (t *Target) run(ctx context.Context, q *wire.Query) (finished bool) {
+	end := t.begin(q)
+	defer func() {
+		end(finished)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.release()
+	}()
+	d := t.serviceTime()
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-t.timers.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// reply answers q as the faults demand.
+func (t *Target) reply(w http.ResponseWriter, r *http.Request, q *wire.Query, f Fault, previous wire.Query) {
+	if f.ResetAfterRun {
+		abort(w)
+	}
+	if f.Late > 0 {
+		select {
+		case <-t.timers.After(f.Late.Std()):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+	answered := q
+	if f.Misdirect {
+		answered = &previous
+	}
+	data, err := json.Marshal(wire.Reply{
+		RequestID: answered.RequestID,
+		AttemptID: answered.AttemptID,
+		Service:   answered.Service,
+		Version:   answered.Version,
+		Shard:     answered.Shard,
+		Shards:    answered.Shards,
+		Hits:      t.hits(answered),
+		Report:    t.Report(),
+	})
+	if err != nil {
+		panic(err)
+	}
+	switch {
+	case f.Truncate:
+		w.Header().Set("Content-Length", fmt.Sprint(len(data)))
+		w.Write(data[:len(data)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case f.Duplicate:
+		duplicate(w, data)
+	default:
+		write(w, http.StatusOK, data)
+	}
+}
+
+// refuse answers q with a refusal.
+func (t *Target) refuse(w http.ResponseWriter, q *wire.Query, code wire.Code, notRun bool, message string) {
+	status := http.StatusServiceUnavailable
+	switch code {
+	case wire.VersionUnavailable:
+		status = http.StatusConflict
+	case wire.BadQuery:
+		status = http.StatusBadRequest
+	case wire.Overconnected:
+		w.Header().Set("Connection", "close")
+	}
+	writeJSON(w, status, wire.Refusal{
+		RequestID: q.RequestID,
+		AttemptID: q.AttemptID,
+		Code:      code,
+		Message:   message,
+		NotRun:    notRun,
+		Report:    t.Report(),
+	})
+}
+
+// abort resets the connection and ends the handler.
+func abort(w http.ResponseWriter) {
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		reset(c)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// duplicate sends the same reply twice and leaves the connection open, as a target does that repeats itself.
+func duplicate(w http.ResponseWriter, data []byte) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = c.Close() }()
+	response := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(data), data)
+	_, _ = c.Write(slices.Concat(response, response))
+	_, _ = io.Copy(io.Discard, c)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	write(w, status, data)
+}
+
+func write(w http.ResponseWriter, status int, data []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(data)
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,215 @@
+// Package target is a stand-in for a target: it serves the queries of one service for tests, demonstrations and the
+// bench, keeps a journal of what ran, and fails on demand.
+//
+//	POST /query    200 Reply, 503, 409 or 400 Refusal
+//	GET  /status   200 Report
+//	GET  /journal  200 Journal
+//	GET  /fault    200 Fault, the faults in force
+//	PUT  /fault    204, replaces the faults in force
+//
+// It runs as a process (cmd/standin) or within a test:
+//
+//	t := target.New(timers, target.WithService("payout"), target.WithHoldings(holding))
+//	go t.Serve(ctx, listener)
+//	err := t.SetFault(target.Fault{Shed: true})
+//
+// Records are computed from version, shard and text, so every replica of a shard gives the same hits.
+package target
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	wire "github.com/hickorynotch/hickorynotch/internal/wire/target"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("stand-in target")
+
+const (
+	defaultSlots      = 2
+	defaultQueue      = 4
+	defaultColdFactor = 5
+	defaultJournal    = 1 << 16
+)
+
+// Target is a stand-in target. It is safe for concurrent use.
+type Target struct {
+	timers      *timer.Service
+	service     string
+	slots       int
+	queue       int
+	connections int
+	connectTime time.Duration
+	median      time.Duration
+	spread      float64
+	coldTime    time.Duration
+	coldFactor  float64
+	grace       time.Duration
+	incarnation uint64
+	started     time.Time
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	holdings []wire.Holding
+	keys     map[part][]string
+	fault    Fault
+	leaving  bool
+	running  int
+	waiting  []chan struct{} // bounded by queue
+	previous wire.Query      // the query before this one, for misdirected replies
+	journal  journal
+	conns    map[*conn]struct{} // bounded by the open files of the process
+	listener *listener
+}
+
+// Option configures a Target.
+type Option func(*Target)
+
+// WithService names the service whose queries are served.
+func WithService(name string) Option { return func(t *Target) { t.service = name } }
+
+// WithHoldings sets the index versions and shards held at the start.
+func WithHoldings(holdings ...wire.Holding) Option {
+	return func(t *Target) { t.holdings = slices.Clone(holdings) }
+}
+
+// WithSlots sets the number of queries that run at a time.
+func WithSlots(n int) Option { return func(t *Target) { t.slots = max(1, n) } }
+
+// WithQueue sets the number of queries that wait for a slot; one more is shed.
+func WithQueue(n int) Option { return func(t *Target) { t.queue = max(0, n) } }
+
+// WithConnections sets the number of connections that are served; queries on further ones are refused. Zero means any.
+func WithConnections(n int) Option { return func(t *Target) { t.connections = n } }
+
+// WithConnectTime delays the first read on each new connection.
+func WithConnectTime(d time.Duration) Option { return func(t *Target) { t.connectTime = d } }
+
+// WithServiceTime draws service times from a log-normal distribution. A spread of 0 gives the median every time.
+func WithServiceTime(median time.Duration, spread float64) Option {
+	return func(t *Target) { t.median, t.spread = median, spread }
+}
+
+// WithSeed seeds the randomness of service times and slow queries.
+func WithSeed(seed uint64) Option {
+	return func(t *Target) { t.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// WithColdStart multiplies service times by factor for the given time after the start.
+func WithColdStart(d time.Duration, factor float64) Option {
+	return func(t *Target) { t.coldTime, t.coldFactor = d, factor }
+}
+
+// WithGrace sets how long Serve refuses queries as draining before it closes its connections.
+func WithGrace(d time.Duration) Option { return func(t *Target) { t.grace = d } }
+
+// WithIncarnation sets the incarnation that reports state; by default it is the time of the start.
+func WithIncarnation(n uint64) Option { return func(t *Target) { t.incarnation = n } }
+
+// WithJournal bounds the journal; the oldest entries are dropped first.
+func WithJournal(n int) Option { return func(t *Target) { t.journal.bound = max(1, n) } }
+
+// New returns a Target with 2 slots and a queue of 4 that answers at once, unless options say otherwise.
+func New(timers *timer.Service, options ...Option) *Target {
+	now := timers.Now()
+	t := &Target{
+		timers:      timers,
+		slots:       defaultSlots,
+		queue:       defaultQueue,
+		coldFactor:  defaultColdFactor,
+		incarnation: uint64(now.UnixNano()),
+		started:     now,
+		random:      rand.New(rand.NewPCG(1, 1)),
+		keys:        make(map[part][]string),
+		journal:     journal{bound: defaultJournal},
+		conns:       make(map[*conn]struct{}),
+	}
+	for _, option := range options {
+		option(t)
+	}
+	for _, h := range t.holdings {
+		t.index(h)
+	}
+
+	return t
+}
+
+// Report returns what the target says of itself.
+func (t *Target) Report() wire.Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	report := wire.Report{
+		Incarnation: t.incarnation,
+		Service:     t.service,
+		Draining:    t.draining(),
+		Cold:        t.cold(),
+		InFlight:    t.running + len(t.waiting),
+		Slots:       t.slots,
+		Holdings:    slices.Clone(t.holdings),
+	}
+	if t.fault.WrongReport {
+		report.Draining, report.Cold = false, false
+		report.InFlight, report.Slots = 0, 10*t.slots
+		for i := range report.Holdings {
+			report.Holdings[i].Version++
+		}
+	}
+
+	return report
+}
+
+// SetHoldings replaces the index versions and shards held.
+func (t *Target) SetHoldings(holdings ...wire.Holding) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holdings = nil
+	clear(t.keys)
+	for _, h := range holdings {
+		t.hold(h)
+	}
+}
+
+// hold adds h to the holdings. t.mu is held.
+func (t *Target) hold(h wire.Holding) {
+	if !slices.Contains(t.holdings, h) && len(t.holdings) < wire.MaxHoldings {
+		t.holdings = append(t.holdings, h)
+		t.index(h)
+	}
+}
+
+// withdraw removes a version from the holdings. t.mu is held.
+func (t *Target) withdraw(version uint64) {
+	t.holdings = slices.DeleteFunc(t.holdings, func(h wire.Holding) bool { return h.Version == version })
+}
+
+// draining reports whether new queries are refused. t.mu is held.
+func (t *Target) draining() bool {
+	return t.leaving || t.fault.Drain
+}
+
+// cold reports whether service times are those of a cold start. t.mu is held.
+func (t *Target) cold() bool {
+	return t.fault.Cold || t.timers.Since(t.started) < t.coldTime
+}
+
+// serviceTime draws the time that the next query takes.
+func (t *Target) serviceTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	d := float64(t.median) * math.Exp(t.spread*t.random.NormFloat64())
+	if t.fault.SlowFraction > 0 && t.random.Float64() < t.fault.SlowFraction {
+		d *= t.fault.SlowFactor
+	}
+	if t.cold() {
+		d *= t.coldFactor
+	}
+
+	return time.Duration(d)
+}
