--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -51,8 +51,11 @@
 			return
 		}
 		if standing.slow > 0 {
+			over := make(chan struct{})
+			stop := p.timers.AfterFunc(standing.slow, func() { close(over) })
+			defer stop()
 			select {
-			case <-p.timers.After(standing.slow):
+			case <-over:
 			case <-r.Context().Done():
 				abortIf(true)
 			}
@@ -138,7 +141,9 @@
 
 		return
 	}
-	timeout := p.timers.After(p.watchWait)
+	timeout := make(chan struct{})
+	stop := p.timers.AfterFunc(p.watchWait, func() { close(timeout) })
+	defer stop()
 	for over := false; ; {
 		standing := p.faults.standing(z)
 		abortIf(standing.down)
@@ -153,6 +158,8 @@
 		case <-standing.changed:
 		case <-timeout:
 			over = true
+			// A closed channel would make a silent watch spin.
+			timeout = nil
 		case <-r.Context().Done():
 			return
 		}
--- a/internal/wire/platform/platform.go
+++ b/internal/wire/platform/platform.go
@@ -6,6 +6,13 @@
 //	ErrConflict     the expected version was not the current one; nothing was written
 //	ErrUnavailable  the request did not reach the store; nothing was written
 //	ErrUnknown      the request may have reached the store; the write may be in effect now or later
+//
+// ErrLeaseLapsed means that the lease is gone and that nothing was written. Any other error means that the call was refused
+// as wrong and had no effect. The client decides between ErrUnavailable and ErrUnknown by whether a byte of the request was
+// written to a connection, and never sends a write twice.
+//
+//	client := platform.NewClient(address, timers)
+//	version, err := client.CompareAndSwap(ctx, "Claims/17", token, 0, lease)
 package platform
 
 import (
