--- a/internal/world/contract/contract.go
+++ b/internal/world/contract/contract.go
@@ -87,7 +87,10 @@
 
 // Configuration is everything that operators declare, merged for one availability zone.
 type Configuration struct {
-	Services map[string]Service
+	// AvailabilityZones lists the sites that may have an overlay, which are also the zones that replicas may be in. An overlay
+	// may extend the list, so that a site can take in services of other zones.
+	AvailabilityZones []zone.Zone
+	Services          map[string]Service
 }
 
 // FirstAnswer returns the time after which a request of s answers with what it has.
