Read settings from flags and environment variables

A process must report every fault of its settings at once, but package flag stops at the first bad value. Package setting keeps the texts of flags and environment variables until Resolve parses and checks them together, and adds default and environment name to the help of package flag, so that google/subcommands prints them.

--- /dev/null
+++ b/internal/run/setting/types.go
@@ -0,0 +1,160 @@
+package setting
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
+)
+
+// MaxAddresses is the largest number of entries of a list of addresses.
+const MaxAddresses = 1024
+
+func (s *Set) add(name, standard, usage string, parse func(string) error, options []Option) *entry {
+	e := &entry{name: name, usage: usage, standard: standard, text: standard, parse: parse}
+	for _, option := range options {
+		option(e)
+	}
+	s.entries = append(s.entries, e)
+	s.flags.Var(e, name, fmt.Sprintf("%s (%s)", usage, e.help()))
+
+	return e
+}
+
+// String declares a setting of any text.
+func (s *Set) String(name, standard, usage string, options ...Option) *string {
+	value := standard
+	s.add(name, standard, usage, func(text string) error {
+		value = text
+
+		return nil
+	}, options)
+
+	return &value
+}
+
+// Bool declares a setting that is true or false.
+func (s *Set) Bool(name string, standard bool, usage string, options ...Option) *bool {
+	value := standard
+	e := s.add(name, strconv.FormatBool(standard), usage, func(text string) (err error) {
+		if value, err = strconv.ParseBool(text); err != nil {
+			return fmt.Errorf("%q is not true or false", text)
+		}
+
+		return nil
+	}, options)
+	e.isBool = true
+
+	return &value
+}
+
+// Int declares a setting that is a whole number from smallest to largest.
+func (s *Set) Int(name string, standard, smallest, largest int, usage string, options ...Option) *int {
+	value := standard
+	s.add(name, strconv.Itoa(standard), usage, func(text string) (err error) {
+		if value, err = strconv.Atoi(text); err != nil {
+			return fmt.Errorf("%q is not a whole number", text)
+		}
+		if value < smallest || value > largest {
+			return fmt.Errorf("%d is not within %d to %d", value, smallest, largest)
+		}
+
+		return nil
+	}, options)
+
+	return &value
+}
+
+// Duration declares a setting that is a time from shortest to longest.
+func (s *Set) Duration(name string, standard, shortest, longest time.Duration, usage string, options ...Option) *time.Duration {
+	value := standard
+	s.add(name, standard.String(), usage, func(text string) (err error) {
+		if value, err = time.ParseDuration(text); err != nil {
+			return fmt.Errorf("%q is not a duration such as 170ms", text)
+		}
+		if value < shortest || value > longest {
+			return fmt.Errorf("%s is not within %s to %s", value, shortest, longest)
+		}
+
+		return nil
+	}, options)
+
+	return &value
+}
+
+// Zone declares a setting that is an availability zone.
+func (s *Set) Zone(name string, standard zone.Zone, usage string, options ...Option) *zone.Zone {
+	value := standard
+	s.add(name, string(standard), usage, func(text string) error {
+		return value.UnmarshalText([]byte(text))
+	}, options)
+
+	return &value
+}
+
+// AddrPort declares a setting that is an address with port. The zero value as standard means that there is no default.
+func (s *Set) AddrPort(name string, standard netip.AddrPort, usage string, options ...Option) *netip.AddrPort {
+	value := standard
+	s.add(name, textOf(standard), usage, func(text string) (err error) {
+		value, err = parseAddrPort(text)
+
+		return err
+	}, options)
+
+	return &value
+}
+
+// AddrPorts declares a setting that is a list of addresses with ports, separated by commas.
+func (s *Set) AddrPorts(name string, standard []netip.AddrPort, usage string, options ...Option) *[]netip.AddrPort {
+	value := standard
+	texts := make([]string, 0, len(standard))
+	for _, address := range standard {
+		texts = append(texts, textOf(address))
+	}
+	s.add(name, strings.Join(texts, ","), usage, func(text string) error {
+		value = nil
+		if text == "" {
+			return nil
+		}
+		parts := strings.Split(text, ",")
+		if len(parts) > MaxAddresses {
+			return fmt.Errorf("has %d entries, at most %d are accepted", len(parts), MaxAddresses)
+		}
+		seen := make(map[netip.AddrPort]bool, len(parts))
+		for _, part := range parts {
+			address, err := parseAddrPort(strings.TrimSpace(part))
+			if err != nil {
+				return err
+			}
+			if seen[address] {
+				return fmt.Errorf("%s is listed twice", address)
+			}
+			seen[address] = true
+			value = append(value, address)
+		}
+
+		return nil
+	}, options)
+
+	return &value
+}
+
+func textOf(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+
+	return address.String()
+}
+
+func parseAddrPort(text string) (netip.AddrPort, error) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("%q is not an address such as 127.0.0.1:7000", text)
+	}
+
+	return address, nil
+}
