--- a/internal/wire/caller/caller.go
+++ b/internal/wire/caller/caller.go
@@ -20,9 +20,11 @@
 	ReadyPath  = "/readyz"
 )
 
-// Bounds of a request.
+// Bounds of a request and of an answer.
 const (
 	MaxRequestBytes = 64 << 10
 	MaxIDLength     = 128
 	MaxLimit        = 1000
+	// MaxAnswerBytes is what a Client accepts: the largest reply of a target, twice.
+	MaxAnswerBytes = 8 << 20
 )
--- a/internal/wire/caller/refusal.go
+++ b/internal/wire/caller/refusal.go
@@ -25,6 +25,7 @@
 	Duplicate            Code = "Duplicate"            // a copy of the request was taken before
 	InsufficientCoverage Code = "InsufficientCoverage" // fewer shards answered than the contract demands
 	Lost                 Code = "Lost"                 // the target was touched and no answer came
+	Unreachable          Code = "Unreachable"          // a Client could not open a connection to the instance
 )
 
 // Refusal is the reply to a request that gets no answer. It is the body of every status other than 200.
@@ -53,8 +54,19 @@
 	return r
 }
 
-// Status returns the HTTP status of r.
+// Status returns the HTTP status of r. A load balancer may repeat a request on 429 and 503, so that these are used only when
+// the request did not run.
 func (r *Refusal) Status() int {
+	if r.Code == Duplicate {
+		return http.StatusConflict
+	}
+	if r.Outcome != target.NotRun {
+		if r.Code == TooLate {
+			return http.StatusGatewayTimeout
+		}
+
+		return http.StatusBadGateway
+	}
 	switch r.Code {
 	case BadRequest:
 		return http.StatusBadRequest
@@ -62,12 +74,8 @@
 		return http.StatusRequestEntityTooLarge
 	case UnknownService:
 		return http.StatusNotFound
-	case Duplicate:
-		return http.StatusConflict
 	case Overloaded:
 		return http.StatusTooManyRequests
-	case InsufficientCoverage, Lost:
-		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/internal/wire/caller/request.go
+++ b/internal/wire/caller/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"regexp"
 
 	"github.com/hickorynotch/hickorynotch/internal/value/duration"
 	"github.com/hickorynotch/hickorynotch/internal/value/fault"
@@ -21,13 +22,21 @@
 	Limit int `json:",omitempty"`
 	// Timeout shortens the deadline of the service; zero leaves it as it is.
 	Timeout duration.Duration `json:",omitempty"`
+	// Generated is true when the caller sent no RequestID and the Handler generated one. Such a request must not run on a
+	// service that is not idempotent, because the caller could not repeat it under the same RequestID.
+	Generated bool `json:"-"`
 }
 
+// idShape excludes separators, because a RequestID becomes part of a key in the platform's store.
+var idShape = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]*$`)
+
 // Check returns the faults of r that can be seen without a configuration.
 func (r *Request) Check() error {
 	var faults fault.List
 	if len(r.RequestID) > MaxIDLength {
 		faults.Add("RequestID", "has %d characters, at most %d are accepted", len(r.RequestID), MaxIDLength)
+	} else if r.RequestID != "" && !idShape.MatchString(r.RequestID) {
+		faults.Add("RequestID", "%q is not a letter or digit followed by letters, digits, '.', '_', ':' or '-'", r.RequestID)
 	}
 	if r.Service == "" {
 		faults.Add("Service", "must not be empty")
