Add the subcommands check and query

Operators need to check configuration files without a platform, and scripts need to tell a request that may have run from one that did not. check prints the merged configuration of every zone or all faults; query has an exit status for each outcome.

--- a/cmd/hickorynotch/main.go
+++ b/cmd/hickorynotch/main.go
@@ -13,6 +13,8 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&eventsCommand{}, "")
+	subcommands.Register(newCheckCommand(), "")
+	subcommands.Register(newQueryCommand(), "")
 
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/cmd/hickorynotch/main_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/subcommands"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/wire/caller"
+	"github.com/hickorynotch/hickorynotch/internal/wire/target"
+)
+
+func TestCommands(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "commands")
+}
+
+// run executes a subcommand and returns its exit status.
+func run(command subcommands.Command, arguments ...string) subcommands.ExitStatus {
+	flags := flag.NewFlagSet(command.Name(), flag.ContinueOnError)
+	command.SetFlags(flags)
+	Expect(flags.Parse(arguments)).To(Succeed())
+
+	return command.Execute(context.Background(), flags)
+}
+
+var _ = Describe("check", func() {
+	It("prints faults with file and path and fails", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "base.yaml")
+		Expect(os.WriteFile(path, []byte("{AvailabilityZones: [Kochi], Services: {}, Site: 1}"), 0o600)).To(Succeed())
+		var errors bytes.Buffer
+		Expect(run(&checkCommand{errors: &errors}, "-base", path)).To(Equal(subcommands.ExitFailure))
+		Expect(errors.String()).To(Equal("contract: " + path + ": Site: unknown field\n" + path + ": Services: must have at least one service\n"))
+	})
+
+	It("reports wrong usage", func() {
+		var errors bytes.Buffer
+		Expect(run(&checkCommand{errors: &errors}, "base.yaml")).To(Equal(subcommands.ExitUsageError))
+		Expect(errors.String()).To(Equal("setting: -base: must be set (environment: HICKORYNOTCH_BASE)\nunexpected argument \"base.yaml\"\n"))
+	})
+})
+
+var _ = Describe("query", func() {
+	DescribeTable("tells the outcomes apart by exit status",
+		func(whole bool, refusal *caller.Refusal, status subcommands.ExitStatus, printed string) {
+			server := httptest.NewServer(caller.NewHandler(func(_ context.Context, r caller.Request) (caller.Answer, error) {
+				if refusal != nil {
+					return caller.Answer{}, refusal
+				}
+
+				return caller.Answer{RequestID: r.RequestID, Service: r.Service, Coverage: caller.Coverage{Asked: 2, Whole: whole}}, nil
+			}))
+			DeferCleanup(server.Close)
+			var out bytes.Buffer
+			entry := server.Listener.Addr().String()
+			Expect(run(&queryCommand{out: &out, errors: &out}, "-entry", entry, "-service", "a", "-id", "r1")).To(Equal(status))
+			Expect(out.String()).To(ContainSubstring(printed))
+		},
+		Entry("whole", true, nil, subcommands.ExitSuccess, "Whole: true"),
+		Entry("partial", false, nil, exitPartial, "Asked: 2\n  Whole: false"),
+		Entry("not run", false, &caller.Refusal{Outcome: target.NotRun, Code: caller.Overloaded}, exitNotRun, "Code: Overloaded"),
+		Entry("unknown", false, &caller.Refusal{Outcome: target.Unknown, Code: caller.Duplicate}, exitUnknown, "Outcome: Unknown"),
+	)
+
+	It("reports a lost connection as unknown and wrong usage as such", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		DeferCleanup(server.Close)
+		var out bytes.Buffer
+		Expect(run(&queryCommand{errors: &out}, "-entry", server.Listener.Addr().String(), "-service", "a")).To(Equal(exitUnknown))
+		Expect(run(&queryCommand{errors: &out}, "-entry", "here", "-timeout", "2m")).To(Equal(subcommands.ExitUsageError))
+		Expect(out.String()).To(HaveSuffix(`setting: -entry: "here" is not an address such as 127.0.0.1:7000
+-service: must be set (environment: HICKORYNOTCH_SERVICE)
+-timeout: 2m0s is not within 0s to 1m0s
+`))
+	})
+})
