Add example configurations of both deployments and of a merger

The merger example shows an overlay by which one site takes in the services of another customer. The help of settings no longer prints a default twice.

Measured: go test -race ./cmd/hickorynotch passes; check accepts all three examples.

--- a/cmd/hickorynotch/main_test.go
+++ b/cmd/hickorynotch/main_test.go
@@ -8,14 +8,17 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/google/subcommands"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"sigs.k8s.io/yaml"
 
 	"github.com/hickorynotch/hickorynotch/internal/wire/caller"
 	"github.com/hickorynotch/hickorynotch/internal/wire/target"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
 )
 
 func TestCommands(t *testing.T) {
@@ -33,6 +36,33 @@
 }
 
 var _ = Describe("check", func() {
+	DescribeTable("accepts the examples, so that what operators copy from them is valid",
+		func(base string, overlays []string, services map[string]int) {
+			arguments := []string{"-base", filepath.Join("../../examples", base)}
+			for _, overlay := range overlays {
+				arguments = append(arguments, "-overlay", filepath.Join("../../examples", overlay))
+			}
+			var out, errors bytes.Buffer
+			status := run(&checkCommand{out: &out, errors: &errors}, arguments...)
+			Expect(errors.String()).To(BeEmpty())
+			Expect(status).To(Equal(subcommands.ExitSuccess))
+			found := map[string]int{}
+			for _, document := range strings.Split(out.String(), "---\n# ")[1:] {
+				z, text, _ := strings.Cut(document, "\n")
+				var c contract.Configuration
+				Expect(yaml.UnmarshalStrict([]byte(text), &c)).To(Succeed())
+				found[z] = len(c.Services)
+			}
+			Expect(found).To(Equal(services))
+		},
+		Entry("chattimala", "chattimala/base.yaml", []string{"chattimala/kochi.yaml", "chattimala/kozhikode.yaml"},
+			map[string]int{"Kochi": 6, "Thrissur": 6, "Kozhikode": 6}),
+		Entry("asociacion", "asociacion/base.yaml", []string{"asociacion/pamplona.yaml", "asociacion/vitoria.yaml"},
+			map[string]int{"Pamplona": 5, "Logroño": 5, "Vitoria": 4}),
+		Entry("merger", "chattimala/base.yaml", []string{"merger/kochi.yaml", "chattimala/kozhikode.yaml"},
+			map[string]int{"Kochi": 11, "Thrissur": 6, "Kozhikode": 6}),
+	)
+
 	It("prints faults with file and path and fails", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "base.yaml")
 		Expect(os.WriteFile(path, []byte("{AvailabilityZones: [Kochi], Services: {}, Site: 1}"), 0o600)).To(Succeed())
--- a/internal/run/setting/entry.go
+++ b/internal/run/setting/entry.go
@@ -47,16 +47,13 @@
 	return e.isBool
 }
 
-func (e *entry) help() string {
-	text := "environment " + Environment(e.name)
-	switch {
-	case e.required:
-		return text + ", required"
-	case e.standard == "":
-		return text + ", no default"
-	default:
-		return text + ", default " + e.standard
+// source names the environment variable. Package flag prints it with the usage and adds the default by itself.
+func (e *entry) source() string {
+	if e.required {
+		return "environment " + Environment(e.name) + ", required"
 	}
+
+	return "environment " + Environment(e.name)
 }
 
 func (e *entry) resolve(lookup func(string) (string, bool), faults *fault.List) {
--- a/internal/run/setting/setting.go
+++ b/internal/run/setting/setting.go
@@ -74,12 +74,15 @@
 	return keyvals
 }
 
-// Help returns one paragraph for each setting with its default and environment variable.
+// Help returns the help of each setting, with its default and environment variable.
 func (s *Set) Help() string {
 	var b strings.Builder
 	for _, e := range s.entries {
-		fmt.Fprintf(&b, "  -%s (%s)\n", e.name, e.help())
-		fmt.Fprintf(&b, "    \t%s\n", e.usage)
+		fmt.Fprintf(&b, "  -%s\n    \t%s (%s)", e.name, e.usage, e.source())
+		if e.standard != "" {
+			fmt.Fprintf(&b, " (default %s)", e.standard)
+		}
+		b.WriteString("\n")
 	}
 
 	return b.String()
--- a/internal/run/setting/types.go
+++ b/internal/run/setting/types.go
@@ -19,7 +19,7 @@
 		option(e)
 	}
 	s.entries = append(s.entries, e)
-	s.flags.Var(e, name, fmt.Sprintf("%s (%s)", usage, e.help()))
+	s.flags.Var(e, name, fmt.Sprintf("%s (%s)", usage, e.source()))
 
 	return e
 }
