--- a/internal/world/instance/check.go
+++ b/internal/world/instance/check.go
@@ -7,7 +7,7 @@
 // Bounds of what is accepted about an instance.
 const (
 	MaxNameLength = 128
-	// MaxIncarnation leaves room to raise an incarnation, so that no message can make a refutation impossible.
+	// MaxIncarnation is far above what refutations reach and exact in every number format.
 	MaxIncarnation = 1 << 53
 )
 
