--- a/internal/world/snapshot/snapshot.go
+++ b/internal/world/snapshot/snapshot.go
@@ -1,7 +1,12 @@
 // Package snapshot knows which index versions the targets hold and pins each query to one of them.
 //
 // A target's report lists its holdings: for each version, the shard that it holds and into how many shards that version
-// is split. Repartitioning is a version with another number of shards.
+// is split. Repartitioning is a version with another number of shards. A Catalog learns the reports and pins queries:
+//
+//	catalog := snapshot.New(snapshot.WithTimers(timers))
+//	catalog.Learn(address, reply.Report)
+//	pin, ok := catalog.Pin("catalogue", service.Replicas, 0)
+//	pin.Replicas[3] // the usable replicas of shard 3
 package snapshot
 
 import "github.com/hickorynotch/hickorynotch/internal/world/contract"
