hedge: delay from the recent latencies of a service

Cause: a hedge that is sent too early costs load without a gain, and one that is sent too late does not shorten the tail.

Change: Hedge keeps rotating HdrHistogram windows of first-attempt latencies for each service. The delay is the quantile 1-ExtraLoad, but at least the 95th percentile, since hedging after quantile q repeats 1-q of the requests.

--- /dev/null
+++ b/internal/policy/hedge/hedge.go
@@ -0,0 +1,171 @@
+// Package hedge decides when a second copy of a slow target request is worth its load.
+//
+// It keeps a digest of the recent latencies of first attempts for each service and returns one of its quantiles:
+//
+//	h := hedge.New(hedge.WithTimers(timers), hedge.WithExtraLoad(extraLoad))
+//	h.Observe("catalogue", 4*time.Millisecond)
+//	delay, ok := h.Delay("catalogue")
+//
+// Hedging every request that is slower than quantile q sends a second copy of 1-q of the requests. The quantile is
+// therefore 1-ExtraLoad, so that hedges alone do not need more than the budget of the service gives. It is never below the
+// 95th percentile: an earlier hedge mostly repeats requests that were about to be answered.
+package hedge
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+)
+
+const (
+	// earliest is the lowest quantile that is hedged.
+	earliest = 0.95
+	// The digest covers the last windows × period. It is long enough for a stable 95th percentile at 10 requests a second and
+	// short enough to follow a change of load.
+	windows = 4
+	period  = 2500 * time.Millisecond
+	// refresh is the time for which a computed delay is used, because merging the windows takes too long for each query.
+	refresh = 250 * time.Millisecond
+	// minimumSamples is the smallest number of latencies that has a 95th percentile below its maximum.
+	minimumSamples = 20
+	// Latencies are recorded in units of 10 µs up to 10 s with two significant digits, which needs 14 KB for each window.
+	unit    = 10 * time.Microsecond
+	highest = int64(10 * time.Second / unit)
+	digits  = 2
+	// MaxServices bounds the digests to 20 MB. Services beyond it are not hedged.
+	MaxServices = 256
+)
+
+// Hedge holds the digests of all services. It is safe for concurrent use.
+type Hedge struct {
+	timers    *timer.Service
+	extraLoad func(service string) float64
+	start     time.Time
+	mutex     sync.RWMutex
+	digests   map[string]*digest
+}
+
+type digest struct {
+	mutex sync.Mutex
+	// recent holds the windows; window is the number of the newest one, counted from the start.
+	recent [windows]*hdrhistogram.Histogram
+	window int64
+	merged *hdrhistogram.Histogram
+	// delay and known are the last result, computed at the time at for quantile.
+	delay    time.Duration
+	known    bool
+	at       time.Time
+	quantile float64
+}
+
+// Option configures a Hedge.
+type Option func(*Hedge)
+
+// WithTimers makes the digests rotate by timers.
+func WithTimers(timers *timer.Service) Option {
+	return func(h *Hedge) { h.timers = timers }
+}
+
+// WithExtraLoad sets the function that returns the ExtraLoad of a service. Without it, the 95th percentile is used for all.
+func WithExtraLoad(extraLoad func(service string) float64) Option {
+	return func(h *Hedge) { h.extraLoad = extraLoad }
+}
+
+// New returns a Hedge without latencies.
+func New(options ...Option) *Hedge {
+	h := &Hedge{digests: make(map[string]*digest), extraLoad: func(string) float64 { return 1 - earliest }}
+	for _, option := range options {
+		option(h)
+	}
+	if h.timers == nil {
+		h.timers = timer.New()
+	}
+	h.start = h.timers.Now()
+
+	return h
+}
+
+// Observe records the latency of a first attempt. For an attempt that was cancelled because a hedge won or the time was
+// over, the time until then is recorded as well: leaving out the slowest attempts would lower the quantile with each hedge.
+func (h *Hedge) Observe(service string, latency time.Duration) {
+	d := h.digest(service)
+	if d == nil {
+		return
+	}
+	now := h.timers.Now()
+	value := min(max(int64(latency/unit), 1), highest)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.rotate(h.window(now))
+	// The value is within the range of the histogram, which is the only cause of an error.
+	_ = d.recent[d.window%windows].RecordValue(value)
+}
+
+// Delay returns the time after which a request of service may be hedged, or false if the service has no extra load or too
+// few recent latencies.
+func (h *Hedge) Delay(service string) (time.Duration, bool) {
+	extra := h.extraLoad(service)
+	if !(extra > 0) {
+		return 0, false
+	}
+	h.mutex.RLock()
+	d := h.digests[service]
+	h.mutex.RUnlock()
+	if d == nil {
+		return 0, false
+	}
+	now := h.timers.Now()
+	quantile := max(earliest, 1-extra)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if !d.at.IsZero() && now.Sub(d.at) < refresh && d.quantile == quantile {
+		return d.delay, d.known
+	}
+	d.rotate(h.window(now))
+	d.at, d.quantile = now, quantile
+	d.merged.Reset()
+	for _, w := range d.recent {
+		d.merged.Merge(w)
+	}
+	d.known = d.merged.TotalCount() >= minimumSamples
+	d.delay = time.Duration(d.merged.ValueAtQuantile(quantile*100)) * unit
+
+	return d.delay, d.known
+}
+
+func (h *Hedge) window(now time.Time) int64 {
+	return int64(now.Sub(h.start) / period)
+}
+
+func (h *Hedge) digest(service string) *digest {
+	h.mutex.RLock()
+	d := h.digests[service]
+	h.mutex.RUnlock()
+	if d != nil {
+		return d
+	}
+
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if d = h.digests[service]; d != nil || len(h.digests) >= MaxServices {
+		return d
+	}
+	d = &digest{merged: hdrhistogram.New(1, highest, digits)}
+	for i := range d.recent {
+		d.recent[i] = hdrhistogram.New(1, highest, digits)
+	}
+	h.digests[service] = d
+
+	return d
+}
+
+// rotate clears the windows that have passed.
+func (d *digest) rotate(window int64) {
+	for i := max(d.window+1, window-windows+1); i <= window; i++ {
+		d.recent[i%windows].Reset()
+	}
+	d.window = max(d.window, window)
+}
