Add the concurrency limit and queue of a target

Cause: the owner of a target decides which requests get its few slots.

Change: slots.Table runs at most the contract's slots at a time for each replica and orders a bounded queue by worth, then deadline. Refusals are not run: TooLate, QueueFull, Cancelled. A request that would wait is refused when the expected wait and the mean slot time exceed its deadline; a free slot is never refused on an estimate, so a wrong estimate corrects itself. The limit halves once for each burst of shedding and grows by 1/limit on success.

OnDelay also gets the expected delay of refused requests, because a queue that refuses most requests would otherwise look idle to admission.

--- /dev/null
+++ b/internal/policy/slots/table_test.go
@@ -0,0 +1,255 @@
+package slots_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/policy/slots"
+	"github.com/hickorynotch/hickorynotch/internal/query/attempt"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/wire/target"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+)
+
+func TestSlots(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "policy/slots")
+}
+
+var address = netip.MustParseAddrPort("10.0.0.1:80")
+
+func beFailure(outcome target.Outcome, code target.Code) OmegaMatcher {
+	return And(HaveField("Outcome", outcome), HaveField("Code", code))
+}
+
+// bench runs attempts whose end the test decides.
+type bench struct {
+	clock   *clockwork.FakeClock
+	timers  *timer.Service
+	table   *slots.Table
+	running chan string
+	ends    map[string]chan error
+	results map[string]chan error
+	delays  chan time.Duration
+}
+
+func newBench(options ...slots.Option) *bench {
+	b := &bench{clock: clockwork.NewFakeClock(), running: make(chan string, 64), delays: make(chan time.Duration, 64)}
+	b.timers = timer.New(timer.WithClock(b.clock))
+	b.table = slots.NewTable(b.timers, options...)
+	b.table.OnDelay = func(_ string, d time.Duration) { b.delays <- d }
+	b.ends, b.results = map[string]chan error{}, map[string]chan error{}
+
+	return b
+}
+
+func newAttempt(id string, n int, worth float64) attempt.Attempt {
+	return attempt.Attempt{
+		Replica: contract.Replica{Address: address},
+		Slots:   n, Worth: worth,
+		Query: target.Query{AttemptID: id, Service: "payout"},
+	}
+}
+
+// start runs an attempt and returns once it runs, waits or was refused.
+func (b *bench) start(ctx context.Context, a attempt.Attempt) {
+	before := b.waiting() + len(b.running)
+	result := b.launch(ctx, a)
+	Eventually(func() bool { return b.waiting()+len(b.running) > before || len(result) > 0 }).Should(BeTrue())
+}
+
+// launch runs an attempt in the background.
+func (b *bench) launch(ctx context.Context, a attempt.Attempt) <-chan error {
+	id := a.Query.AttemptID
+	end, result := make(chan error, 1), make(chan error, 1)
+	b.ends[id], b.results[id] = end, result
+	go func() {
+		_, err := b.table.Run(ctx, a, func(context.Context) (target.Reply, error) {
+			b.running <- id
+			return target.Reply{}, <-end
+		})
+		result <- err
+	}()
+
+	return result
+}
+
+func (b *bench) waiting() int { return b.table.Waiting(address) }
+
+// finish ends a running attempt with err.
+func (b *bench) finish(id string, err error) {
+	b.ends[id] <- err
+	Eventually(b.results[id]).Should(Receive())
+}
+
+func (b *bench) expectRunning(id string) {
+	GinkgoHelper()
+	Eventually(b.running).Should(Receive(Equal(id)))
+}
+
+var shed = &target.Failure{Outcome: target.NotRun, Code: target.Shed}
+
+var _ = Describe("Table", func() {
+	It("runs at most the slots at a time and serves the queue by worth, then by deadline", func(ctx SpecContext) {
+		b := newBench()
+		early, stop := b.timers.WithTimeout(ctx, time.Second)
+		defer stop()
+		b.start(ctx, newAttempt("a", 2, 1))
+		b.start(ctx, newAttempt("b", 2, 1))
+		b.expectRunning("a")
+		b.expectRunning("b")
+		b.start(ctx, newAttempt("low", 2, 1))
+		b.start(early, newAttempt("low and early", 2, 1))
+		b.start(ctx, newAttempt("high", 2, 5))
+		Expect(b.waiting()).To(Equal(3))
+		Expect(b.running).To(BeEmpty())
+		b.finish("a", nil)
+		b.expectRunning("high")
+		b.finish("b", nil)
+		b.expectRunning("low and early")
+		b.finish("high", nil)
+		b.expectRunning("low")
+	})
+
+	It("refuses the lowest worth as not run when the queue is full", func(ctx SpecContext) {
+		b := newBench(slots.WithQueue(1))
+		b.start(ctx, newAttempt("a", 1, 1))
+		b.start(ctx, newAttempt("low", 1, 1))
+		b.start(ctx, newAttempt("lower", 1, 0.5))
+		Eventually(b.results["lower"]).Should(Receive(beFailure(target.NotRun, target.QueueFull)))
+		b.launch(ctx, newAttempt("high", 1, 2))
+		Eventually(b.results["low"]).Should(Receive(beFailure(target.NotRun, target.QueueFull)))
+		b.expectRunning("a")
+		b.finish("a", nil)
+		b.expectRunning("high")
+	})
+
+	It("refuses as not run what is cancelled, late, or cannot be in time", func(ctx SpecContext) {
+		b := newBench()
+		b.start(ctx, newAttempt("first", 1, 1))
+		b.clock.Advance(time.Second)
+		b.finish("first", nil) // requests now take about a second
+		b.expectRunning("first")
+		b.start(ctx, newAttempt("a", 1, 1))
+		b.expectRunning("a")
+
+		short, stop := b.timers.WithTimeout(ctx, time.Second)
+		defer stop()
+		b.start(short, newAttempt("hopeless", 1, 1))
+		Eventually(b.results["hopeless"]).Should(Receive(beFailure(target.NotRun, target.TooLate)))
+
+		waiting, cancel := context.WithCancel(ctx)
+		b.start(waiting, newAttempt("cancelled", 1, 1))
+		cancel()
+		Eventually(b.results["cancelled"]).Should(Receive(beFailure(target.NotRun, target.Cancelled)))
+
+		enough, stop := b.timers.WithTimeout(ctx, 3*time.Second)
+		defer stop()
+		b.start(enough, newAttempt("late", 1, 1))
+		b.clock.Advance(3 * time.Second)
+		Eventually(b.results["late"]).Should(Receive(beFailure(target.NotRun, target.TooLate)))
+		<-enough.Done()
+		b.start(enough, newAttempt("later", 1, 1))
+		Eventually(b.results["later"]).Should(Receive(beFailure(target.NotRun, target.TooLate)))
+
+		b.finish("a", nil)
+		Expect(b.running).To(BeEmpty())
+		b.start(ctx, newAttempt("next", 1, 1))
+		b.expectRunning("next")
+	})
+
+	It("halves once for a burst of shedding, never below 1, and recovers up to the slots", func(ctx SpecContext) {
+		b := newBench()
+		ids := []string{"a", "b", "c", "d"}
+		for _, id := range ids {
+			b.start(ctx, newAttempt(id, 4, 1))
+		}
+		b.clock.Advance(time.Millisecond)
+		for _, id := range ids {
+			b.finish(id, shed)
+		}
+		Expect(b.table.Limit(address)).To(Equal(2))
+		for range 3 {
+			b.start(ctx, newAttempt("e", 4, 1))
+			b.clock.Advance(time.Millisecond)
+			b.finish("e", shed)
+		}
+		Expect(b.table.Limit(address)).To(Equal(1))
+		limits := []int{}
+		for range 10 {
+			b.start(ctx, newAttempt("f", 4, 1))
+			b.finish("f", nil)
+			limits = append(limits, b.table.Limit(address))
+		}
+		Expect(limits).To(Equal([]int{2, 2, 2, 3, 3, 3, 4, 4, 4, 4}))
+	})
+
+	It("frees the slot when run panics, so that the target stays in use", func(ctx SpecContext) {
+		b := newBench()
+		Expect(func() {
+			_, _ = b.table.Run(ctx, newAttempt("a", 1, 1), func(context.Context) (target.Reply, error) { panic("fault") })
+		}).To(Panic())
+		b.start(ctx, newAttempt("b", 1, 1))
+		b.expectRunning("b")
+	})
+
+	It("exposes the delay of the queue, that of refused requests included", func(ctx SpecContext) {
+		b := newBench(slots.WithQueue(1))
+		b.start(ctx, newAttempt("a", 1, 1))
+		b.start(ctx, newAttempt("b", 1, 1))
+		b.clock.Advance(time.Second)
+		Expect(b.table.QueueDelay(address)).To(Equal(time.Second))
+		b.finish("a", nil)
+		Eventually(b.delays).Should(Receive(Equal(time.Duration(0))))
+		Eventually(b.delays).Should(Receive(Equal(time.Second)))
+		b.start(ctx, newAttempt("c", 1, 1))
+		b.start(ctx, newAttempt("d", 1, 1))
+		Eventually(b.results["d"]).Should(Receive(beFailure(target.NotRun, target.QueueFull)))
+		Eventually(b.delays).Should(Receive(Equal(2 * time.Second)))
+		b.finish("b", nil)
+		b.finish("c", nil)
+		Expect(b.table.QueueDelay(address)).To(BeZero())
+	})
+
+	It("keeps a bounded number of targets and forgets idle ones only", func(ctx SpecContext) {
+		b := newBench(slots.WithTargets(1))
+		reached := []string{}
+		b.table.OnBound = func(bound string) { reached = append(reached, bound) }
+		b.start(ctx, newAttempt("a", 2, 1))
+		other := newAttempt("other", 3, 1)
+		other.Replica.Address = netip.MustParseAddrPort("10.0.0.2:80")
+		run := func(context.Context) (target.Reply, error) { return target.Reply{}, nil }
+		_, err := b.table.Run(ctx, other, run)
+		Expect(err).To(beFailure(target.NotRun, target.QueueFull))
+		Expect(reached).To(Equal([]string{"Targets"}))
+		b.finish("a", nil)
+		_, err = b.table.Run(ctx, other, run)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(b.table.Limit(address)).To(BeZero())
+		Expect(b.table.Limit(other.Replica.Address)).To(Equal(3))
+	})
+
+	DescribeTable("starts with the limit of its variant",
+		func(ctx SpecContext, variant slots.Variant, n int, first, shedding, success int) {
+			b := newBench(slots.WithVariant(variant))
+			b.start(ctx, newAttempt("a", n, 1))
+			Expect(b.table.Limit(address)).To(Equal(first))
+			b.finish("a", shed)
+			Expect(b.table.Limit(address)).To(Equal(shedding))
+			b.start(ctx, newAttempt("b", n, 1))
+			b.finish("b", nil)
+			Expect(b.table.Limit(address)).To(Equal(success))
+		},
+		Entry("Owner", slots.Owner(), 4, 4, 2, 2),
+		Entry("Split", slots.Split(func() int { return 3 }), 7, 2, 2, 2),
+		Entry("Split with more instances than slots", slots.Split(func() int { return 8 }), 2, 1, 1, 1),
+		Entry("Split without a known instance", slots.Split(func() int { return 0 }), 2, 2, 2, 2),
+		Entry("Adaptive", slots.Adaptive(), 4, 1, 1, 2),
+	)
+})
