--- a/internal/run/timer/timer.go
+++ b/internal/run/timer/timer.go
@@ -68,7 +68,26 @@
 
 // WithTimeout returns a copy of ctx that is cancelled once d has passed.
 func (s *Service) WithTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
-	return clockwork.WithTimeout(ctx, s.clock, d)
+	if _, fake := s.clock.(*clockwork.FakeClock); !fake {
+		return clockwork.WithTimeout(ctx, s.clock, d)
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, d)
+
+	return fakeContext{ctx}, cancel
+}
+
+// fakeContext gives the context of a fake clock an Err that does not wait for the end of the context, as that of
+// clockwork v0.5.0 does.
+type fakeContext struct{ context.Context }
+
+// Err implements context.Context.
+func (c fakeContext) Err() error {
+	select {
+	case <-c.Done():
+		return c.Context.Err()
+	default:
+		return nil
+	}
 }
 
 // Subscription delivers ticks until it is stopped. Ticks that the subscriber is too slow for are dropped.
