--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -112,15 +112,31 @@
 	c.pools.close()
 }
 
-// Relay runs a at the peer. An error is a *target.Failure: that of the peer, or NotRun when no byte of the request was
-// handed to a connection, or Unknown.
+// Unreached is the failure of a relay of which no byte was handed to a connection to the peer. It tells a peer that
+// cannot be reached from a peer that could not reach the target.
+type Unreached struct {
+	*target.Failure
+}
+
+// Unwrap makes the *target.Failure visible to errors.As.
+func (u *Unreached) Unwrap() error {
+	return u.Failure
+}
+
+// Relay runs a at the peer. An error is or wraps a *target.Failure: that of the peer, an Unreached with NotRun when no byte of
+// the request was handed to a connection, or Unknown.
 func (c *Client) Relay(ctx context.Context, to netip.AddrPort, a attempt.Attempt) (target.Reply, error) {
 	var out relayReply
 	timeout := a.Query.Timeout.Std() + relaySlack
 	handed, err := c.call(ctx, poolKey{address: to}, timeout, rpcRelay, &relayRequest{Sender: c.sender, Attempt: a}, &out)
 	switch {
 	case err != nil:
-		return target.Reply{}, relayFailure(ctx, handed, err)
+		failure := relayFailure(ctx, handed, err)
+		if !handed {
+			return target.Reply{}, &Unreached{Failure: failure}
+		}
+
+		return target.Reply{}, failure
 	case out.Failure != nil:
 		return target.Reply{}, out.Failure
 	}
