Test that a redirected deletion is not followed

net/http follows a redirect of a request without a body, which would send a deletion twice. The table now redirects a deletion too.

--- a/internal/wire/platform/client_test.go
+++ b/internal/wire/platform/client_test.go
@@ -235,6 +235,11 @@
 			_, err := client.CompareAndSwap(ctx, "key", nil, 0, "")
 			Expect(err).To(MatchError(platform.ErrUnknown))
 			Expect(calls.Load()).To(Equal(int32(1)))
+			if status != http.StatusOK {
+				// Without a body, net/http would follow a redirect of a deletion.
+				Expect(client.Delete(ctx, "key", 1)).To(MatchError(platform.ErrUnknown))
+				Expect(calls.Load()).To(Equal(int32(2)))
+			}
 		},
 		Entry("success without a body", 200, ""),
 		Entry("success without a version", 200, `{}`),
