Assemble the entry instance and run the whole path as processes

Cause: the parts had no process that joins them. run/entry wires callers, fan-out, ownership, relays, slots, targets, membership and configuration under one supervisor and one run group, with a graceful stop; serve, apply and show are its commands. standin targets serves all replicas of a configuration in one process, so that a demo needs few processes. A target that reports no service name serves any: catalogue and quick match share their replicas, and the catalogue of versions had refused them ('no usable replica').

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build test lint format tools clean
+.PHONY: build test lint format tools clean demo
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -12,6 +12,10 @@
 test:
 	go test ./...
 
+# Runs the whole system as separate processes on loopback and shows the main job.
+demo: build
+	scripts/demo
+
 tools: $(LINT)
 
 $(LINT):
--- /dev/null
+++ b/cmd/hickorynotch/apply.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
+	"github.com/hickorynotch/hickorynotch/internal/run/setting"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+)
+
+// Exit statuses of apply beside those of package subcommands.
+const (
+	exitLostRace     subcommands.ExitStatus = 4
+	exitApplyUnknown subcommands.ExitStatus = 5
+)
+
+// applyCommand puts a configuration into the platform's store.
+type applyCommand struct {
+	out, errors io.Writer
+	settings    *setting.Set
+	platform    *netip.AddrPort
+	base        *string
+	overlays    []string
+	operator    *string
+	id          *string
+	from        *int
+	timeout     *time.Duration
+}
+
+func newApplyCommand() *applyCommand {
+	return &applyCommand{out: os.Stdout, errors: os.Stderr}
+}
+
+func (*applyCommand) Name() string     { return "apply" }
+func (*applyCommand) Synopsis() string { return "put a configuration into the platform's store" }
+func (*applyCommand) Usage() string {
+	return `apply -platform ADDRESS -operator NAME -base FILE [-overlay FILE ...] [-from REVISION] [-id APPLYID]:
+  Check a configuration and make it the accepted one. A write whose reply is lost
+  is settled by repeating it and reading back. Exit status: 0 accepted, 1 not
+  accepted, 2 wrong usage, 4 another change was accepted first, 5 unknown; apply
+  again with the printed ApplyID to find out.
+`
+}
+
+func (c *applyCommand) SetFlags(flags *flag.FlagSet) {
+	c.settings = setting.New(flags)
+	c.platform = c.settings.AddrPort("platform", netip.AddrPort{}, "address of the platform's services", setting.Required())
+	c.base = c.settings.String("base", "", "base file, YAML or JSON", setting.Required())
+	c.operator = c.settings.String("operator", "", "name of the operator, kept in the history", setting.Required())
+	c.id = c.settings.String("id", "", "ApplyID of an earlier run whose outcome is unknown")
+	c.from = c.settings.Int("from", 0, 0, 1<<31-1, "revision that the files were made from; 0 for whatever is accepted")
+	c.timeout = c.settings.Duration("timeout", 30*time.Second, time.Second, 10*time.Minute, "longest time to settle the outcome")
+	flags.Func("overlay", "overlay file, whose name is the zone, or ZONE=FILE; may be repeated", func(text string) error {
+		c.overlays = append(c.overlays, text)
+
+		return nil
+	})
+}
+
+func (c *applyCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !resolve(c.errors, c.settings, flags) {
+		return subcommands.ExitUsageError
+	}
+	files, err := contract.Load(*c.base, c.overlays...)
+	if err != nil {
+		_, _ = fmt.Fprintln(c.errors, err)
+
+		return subcommands.ExitFailure
+	}
+	timers := timer.New()
+	ctx, cancel := timers.WithTimeout(ctx, *c.timeout)
+	defer cancel()
+	client := platform.NewClient(*c.platform, timers)
+	defer client.Close()
+	applier := configuration.NewApplier(timers, configuration.WithApplierStore(client))
+	applier.Check = contract.CheckAll
+	change := configuration.Change{ApplyID: *c.id, Operator: *c.operator, From: uint64(*c.from)}
+	if change.ApplyID == "" {
+		change.ApplyID = newApplyID()
+	}
+	change.Base, change.Overlays = files.Parts()
+	result, err := applier.Apply(ctx, change)
+
+	return c.report(change.ApplyID, result, err)
+}
+
+func (c *applyCommand) report(id string, result configuration.Result, err error) subcommands.ExitStatus {
+	var race *configuration.RaceError
+	switch {
+	case errors.Is(err, configuration.ErrOutcomeUnknown):
+		_, _ = fmt.Fprintf(c.errors, "%v (ApplyID %s)\n", err, id)
+
+		return exitApplyUnknown
+	case errors.As(err, &race):
+		_, _ = fmt.Fprintln(c.errors, err)
+
+		return exitLostRace
+	case err != nil:
+		_, _ = fmt.Fprintln(c.errors, err)
+
+		return subcommands.ExitFailure
+	}
+	how := "accepted"
+	if result.Already {
+		how = "already accepted"
+	}
+	_, _ = fmt.Fprintf(c.out, "%s: revision %d by %s (ApplyID %s)\n", how, result.Accepted.Revision,
+		result.Accepted.Operator, result.Accepted.ApplyID)
+	for _, later := range result.Superseded {
+		_, _ = fmt.Fprintf(c.out, "superseded: revision %d by %s\n", later.Revision, later.Operator)
+	}
+
+	return subcommands.ExitSuccess
+}
+
+func newApplyID() string {
+	var id [16]byte
+	// crypto/rand.Read does not fail; it ends the process if the system has no randomness.
+	_, _ = rand.Read(id[:])
+
+	return hex.EncodeToString(id[:])
+}
--- a/cmd/hickorynotch/main.go
+++ b/cmd/hickorynotch/main.go
@@ -14,7 +14,10 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&eventsCommand{}, "")
 	subcommands.Register(newCheckCommand(), "")
+	subcommands.Register(newApplyCommand(), "")
 	subcommands.Register(newQueryCommand(), "")
+	subcommands.Register(newServeCommand(), "")
+	subcommands.Register(newShowCommand(), "")
 
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/cmd/hickorynotch/show.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
+	"github.com/hickorynotch/hickorynotch/internal/run/setting"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/wire/operator"
+	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+)
+
+// exitBehind is the status of show when an instance does not have the accepted revision in force.
+const exitBehind subcommands.ExitStatus = 3
+
+// statusTimeout bounds the wait for the status of one instance.
+const statusTimeout = 2 * time.Second
+
+// showCommand prints what is accepted and what each instance has in force.
+type showCommand struct {
+	out, errors io.Writer
+	settings    *setting.Set
+	platform    *netip.AddrPort
+	operators   *[]netip.AddrPort
+}
+
+func newShowCommand() *showCommand {
+	return &showCommand{out: os.Stdout, errors: os.Stderr}
+}
+
+func (*showCommand) Name() string { return "show" }
+func (*showCommand) Synopsis() string {
+	return "print what is accepted and what each instance has in force"
+}
+func (*showCommand) Usage() string {
+	return `show -platform ADDRESS -operators ADDRESS[,ADDRESS...]:
+  Print the accepted revision and, for each instance at the given operator
+  addresses, the revision in force. Exit status 3 when an instance is behind or
+  does not answer.
+`
+}
+
+func (c *showCommand) SetFlags(flags *flag.FlagSet) {
+	c.settings = setting.New(flags)
+	c.platform = c.settings.AddrPort("platform", netip.AddrPort{}, "address of the platform's services", setting.Required())
+	c.operators = c.settings.AddrPorts("operators", nil, "operator addresses of the instances")
+}
+
+func (c *showCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !resolve(c.errors, c.settings, flags) {
+		return subcommands.ExitUsageError
+	}
+	accepted, known := c.showAccepted(ctx)
+	behind := !known
+	for _, address := range *c.operators {
+		status, err := operator.FetchStatus(ctx, address, statusTimeout)
+		if err != nil {
+			_, _ = fmt.Fprintf(c.out, "%s: no status: %v\n", address, err)
+			behind = true
+
+			continue
+		}
+		_, _ = fmt.Fprintf(c.out, "%s: %s in %s: revision %d in force, ready %t %s\n",
+			address, status.Name, status.AvailabilityZone, status.Revision, status.Ready, status.Reason)
+		behind = behind || status.Revision < accepted
+	}
+	if behind {
+		return exitBehind
+	}
+
+	return subcommands.ExitSuccess
+}
+
+// showAccepted prints the accepted revision and returns it.
+func (c *showCommand) showAccepted(ctx context.Context) (revision uint64, known bool) {
+	client := platform.NewClient(*c.platform, timer.New())
+	defer client.Close()
+	entry, err := client.Read(ctx, configuration.Key)
+	if err != nil {
+		_, _ = fmt.Fprintf(c.out, "accepted: unknown: %v\n", err)
+
+		return 0, false
+	}
+	if entry.Version == 0 {
+		_, _ = fmt.Fprintln(c.out, "accepted: none")
+
+		return 0, true
+	}
+	record, err := configuration.Decode(entry.Value)
+	if err != nil {
+		_, _ = fmt.Fprintf(c.out, "accepted: not readable: %v\n", err)
+
+		return 0, false
+	}
+	_, _ = fmt.Fprintf(c.out, "accepted: revision %d by %s at %s\n", record.Revision, record.Operator,
+		record.At.UTC().Format(time.RFC3339))
+
+	return record.Revision, true
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,6 +14,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&platformCommand{}, "")
 	subcommands.Register(&targetCommand{}, "")
+	subcommands.Register(&targetsCommand{}, "")
 
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- /dev/null
+++ b/cmd/standin/targets.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/standin/target"
+	wire "github.com/hickorynotch/hickorynotch/internal/wire/target"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
+)
+
+// targetsCommand serves all replicas of a configuration in one process, so that a bench needs few processes.
+type targetsCommand struct {
+	base, zone, shards string
+	version            uint64
+	queue              int
+	serviceTime, grace time.Duration
+	spread             float64
+	seed               uint64
+	connectTimes       bool
+}
+
+func (*targetsCommand) Name() string     { return "targets" }
+func (*targetsCommand) Synopsis() string { return "serve the replicas of a configuration" }
+
+func (*targetsCommand) Usage() string {
+	return `targets -base FILE [-zone ZONE] [-shards NAME=N,...] [flags]:
+  Serve every replica that the base file lists, or those in one availability
+  zone, each at its own address. Replica i of a service with N shards holds shard
+  i modulo N. A service that is not named in -shards has one shard.
+`
+}
+
+func (c *targetsCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.base, "base", "", "base file of a configuration")
+	f.StringVar(&c.zone, "zone", "", "availability zone to serve; all if empty")
+	f.StringVar(&c.shards, "shards", "", "comma-separated numbers of shards, such as catalogue=20")
+	f.Uint64Var(&c.version, "version", 1, "index version held")
+	f.IntVar(&c.queue, "queue", 4, "queries that wait for a slot of a target")
+	f.DurationVar(&c.serviceTime, "service-time", time.Millisecond, "median service time")
+	f.Float64Var(&c.spread, "spread", 0.3, "standard deviation of the logarithm of the service time")
+	f.DurationVar(&c.grace, "grace", 5*time.Second, "time to report draining before a stop")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of service times; each target adds its port")
+	f.BoolVar(&c.connectTimes, "connect-times", true, "let new connections take the ConnectTime of the contract")
+}
+
+func (c *targetsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := fromEnvironment(f)
+	if err == nil {
+		err = c.serve(ctx)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+
+		return subcommands.ExitFailure
+	}
+
+	return subcommands.ExitSuccess
+}
+
+func (c *targetsCommand) serve(ctx context.Context) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	targets, err := c.targets()
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	var config net.ListenConfig
+	for address, t := range targets {
+		listener, err := config.Listen(ctx, "tcp", address.String())
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return t.Serve(ctx, listener) })
+	}
+	fmt.Printf("Targets=%d Seed=%d\n", len(targets), c.seed)
+
+	return group.Wait()
+}
+
+// targets returns a target for each address. Services that share replicas share their targets; the first by name decides.
+func (c *targetsCommand) targets() (map[netip.AddrPort]*target.Target, error) {
+	files, err := contract.Load(c.base)
+	if err != nil {
+		return nil, err
+	}
+	base, _ := files.Parts()
+	merged, err := contract.Merge(base, nil)
+	if err != nil {
+		return nil, err
+	}
+	shards, err := parseShards(c.shards)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(merged.Services))
+	for name := range merged.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	timers := timer.New()
+	targets := make(map[netip.AddrPort]*target.Target)
+	for _, name := range names {
+		s := merged.Services[name]
+		for i, replica := range s.Replicas {
+			if targets[replica.Address] != nil || (c.zone != "" && replica.AvailabilityZone != zone.Zone(c.zone)) {
+				continue
+			}
+			n := max(1, shards[name])
+			targets[replica.Address] = c.target(timers, s, replica, wire.Holding{Version: c.version, Shard: i % n, Shards: n})
+		}
+	}
+
+	return targets, nil
+}
+
+func (c *targetsCommand) target(
+	timers *timer.Service,
+	s contract.Service,
+	replica contract.Replica,
+	holding wire.Holding,
+) *target.Target {
+	options := []target.Option{
+		target.WithHoldings(holding),
+		target.WithSlots(s.Slots),
+		target.WithQueue(c.queue),
+		target.WithConnections(s.Connections),
+		target.WithServiceTime(c.serviceTime, c.spread),
+		target.WithSeed(c.seed + uint64(replica.Address.Port())),
+		target.WithGrace(c.grace),
+	}
+	if c.connectTimes {
+		options = append(options, target.WithConnectTime(s.ConnectTime.Std()))
+	}
+
+	return target.New(timers, options...)
+}
+
+// parseShards parses comma-separated numbers of shards such as catalogue=20.
+func parseShards(text string) (map[string]int, error) {
+	shards := make(map[string]int)
+	if text == "" {
+		return shards, nil
+	}
+	var errs []error
+	for part := range strings.SplitSeq(text, ",") {
+		name, number, _ := strings.Cut(part, "=")
+		n, err := strconv.Atoi(number)
+		if err != nil || n < 1 {
+			errs = append(errs, fmt.Errorf("-shards: %q is not NAME=N", part))
+		}
+		shards[name] = n
+	}
+
+	return shards, errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/run/entry/entry.go
@@ -0,0 +1,361 @@
+// Package entry assembles an entry instance from its parts, runs it, and stops it gracefully.
+//
+// An Entry serves callers, peers and operators at three addresses. Its parts that may fail run under a supervisor that
+// restarts them; the supervisor and the three servers form one run group that stops together:
+//
+//	e, err := entry.New(settings, entry.WithLog(log))
+//	err = e.Run(ctx) // until ctx ends, then a graceful stop
+//
+// A graceful stop turns readiness off, tells the peers, waits for the load balancer to notice, finishes the requests and
+// relays in flight up to a bound, and only then stops the parts.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
+	"github.com/hickorynotch/hickorynotch/internal/fleet/membership"
+	"github.com/hickorynotch/hickorynotch/internal/policy/admission"
+	"github.com/hickorynotch/hickorynotch/internal/policy/budget"
+	"github.com/hickorynotch/hickorynotch/internal/policy/hedge"
+	"github.com/hickorynotch/hickorynotch/internal/policy/routing"
+	"github.com/hickorynotch/hickorynotch/internal/policy/slots"
+	"github.com/hickorynotch/hickorynotch/internal/query/attempt"
+	"github.com/hickorynotch/hickorynotch/internal/query/claim"
+	"github.com/hickorynotch/hickorynotch/internal/query/dispatch"
+	"github.com/hickorynotch/hickorynotch/internal/query/fanout"
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/metric"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/wire/caller"
+	"github.com/hickorynotch/hickorynotch/internal/wire/operator"
+	"github.com/hickorynotch/hickorynotch/internal/wire/peer"
+	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	"github.com/hickorynotch/hickorynotch/internal/wire/target"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+	"github.com/hickorynotch/hickorynotch/internal/world/instance"
+	"github.com/hickorynotch/hickorynotch/internal/world/link"
+	"github.com/hickorynotch/hickorynotch/internal/world/snapshot"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("entry")
+
+// Entry is one entry instance.
+type Entry struct {
+	settings Settings
+	timers   *timer.Service
+	log      *event.Log
+	metrics  *metric.Set
+	seed     uint64
+
+	listeners listeners
+	stopping  atomic.Bool
+	stale     atomic.Bool // set after a pause until the instance has refreshed
+	polled    atomic.Bool
+
+	platform *platform.Client
+	targets  *target.Client
+	peers    *peer.Client
+
+	members *membership.Membership
+	keeper  *configuration.Keeper
+	spread  *configuration.Spread
+	watcher *configuration.Watcher
+
+	catalog    *snapshot.Catalog
+	links      *link.Table
+	slots      *slots.Table
+	dispatcher *dispatch.Dispatcher
+	admission  *admission.Controller
+	budget     *budget.Budget
+	engine     *fanout.Engine
+	claims     *claim.Claims
+
+	callers    *caller.Handler
+	peerServer *peer.Server
+}
+
+// Option configures an Entry.
+type Option func(*Entry)
+
+// WithTimers makes all parts take the time from timers.
+func WithTimers(timers *timer.Service) Option { return func(e *Entry) { e.timers = timers } }
+
+// WithLog makes all parts log to log.
+func WithLog(log *event.Log) Option { return func(e *Entry) { e.log = log } }
+
+// WithSeed sets the seed of all random choices. By default it is random.
+func WithSeed(seed uint64) Option { return func(e *Entry) { e.seed = seed } }
+
+// WithDialer makes connections to peers with dial, so that a test can partition peers.
+func WithDialer(dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)) Option {
+	return func(e *Entry) { e.settings.dial = dial }
+}
+
+// New checks settings, opens the three listeners and assembles the parts.
+func New(settings Settings, options ...Option) (e *Entry, err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	e = &Entry{settings: settings, timers: timer.New(), seed: rand.Uint64()}
+	for _, option := range options {
+		option(e)
+	}
+	if e.metrics, err = metric.New(); err != nil {
+		return nil, err
+	}
+	if e.listeners, err = listen(&e.settings); err != nil {
+		return nil, err
+	}
+	e.assembleLinks()
+	e.assembleFleet()
+	e.assembleQuery()
+
+	return e, e.observe()
+}
+
+// assembleLinks makes the clients and what is known of the targets.
+func (e *Entry) assembleLinks() {
+	e.platform = platform.NewClient(e.settings.Platform, e.timers, platform.WithZone(e.settings.AvailabilityZone))
+	e.targets = target.NewClient(e.timers, target.WithLog(e.log))
+	e.catalog = snapshot.New(snapshot.WithTimers(e.timers))
+	e.links = link.NewTable(e.timers, link.WithLog(e.log))
+	e.admission = admission.New(e.timers, admission.WithSeed(e.seed), admission.WithLog(e.log),
+		admission.WithRunning(e.settings.Running))
+	e.slots = slots.NewTable(e.timers, slots.WithVariant(e.variant()), slots.WithLog(e.log))
+}
+
+// variant returns the way in which instances share a target's slots. Without owners every instance sends directly.
+func (e *Entry) variant() slots.Variant {
+	switch e.settings.Limit {
+	case LimitSplit:
+		return slots.Split(func() int { return len(e.members.Live()) })
+	case LimitAdaptive:
+		return slots.Adaptive()
+	default:
+		return slots.Owner()
+	}
+}
+
+// assembleFleet makes membership, configuration and the interface for peers.
+func (e *Entry) assembleFleet() {
+	self := instance.Instance{
+		Name:             e.settings.Name,
+		AvailabilityZone: e.settings.AvailabilityZone,
+		Peer:             e.settings.Peer,
+		// A new process has a higher incarnation than the one that it replaces under the same name.
+		Incarnation: uint64(e.timers.Now().UnixMilli()),
+	}
+	peerOptions := []peer.ClientOption{
+		peer.WithSender(peer.Sender{Name: self.Name, AvailabilityZone: self.AvailabilityZone}),
+	}
+	if e.settings.dial != nil {
+		peerOptions = append(peerOptions, peer.WithDialer(e.settings.dial))
+	}
+	e.peers = peer.NewClient(e.timers, peerOptions...)
+
+	e.keeper = configuration.NewKeeper(e.settings.AvailabilityZone, contract.Merge,
+		configuration.WithKeeperLog(e.log),
+		configuration.WithOnAdopt(func(active configuration.Active) { e.spread.Adopted(active) }))
+	e.members = membership.New(self, e.timers,
+		membership.Calls{Ping: e.peers.Ping, PingRequest: e.peers.PingRequest, Sync: e.peers.Sync},
+		membership.WithSeeds(e.settings.Seeds...),
+		membership.WithSeedList(e.listedPeers),
+		membership.WithRevision(e.keeper.Revision,
+			func(from instance.Instance, revision uint64) { e.spread.Behind(from, revision) }),
+		membership.WithOnPause(e.onPause),
+		membership.WithSeed(e.seed),
+		membership.WithLog(e.log))
+	e.spread = configuration.NewSpread(self, e.keeper, e.timers,
+		configuration.PeerCalls{Push: e.peers.Push, Configuration: e.peers.Configuration}, e.members.Live, e.seed)
+	e.watcher = configuration.NewWatcher(self, e.spread,
+		configuration.StoreCalls{Read: e.platform.Read, Watch: e.platform.Watch}, e.seed, e.log)
+
+	e.peerServer = peer.NewServer(
+		peer.WithRelay(func(ctx context.Context, from peer.Sender, a attempt.Attempt) (target.Reply, error) {
+			return e.dispatcher.HandleRelay(ctx, from, a)
+		}),
+		peer.WithPing(e.members.HandlePing),
+		peer.WithPingRequest(e.members.HandlePingRequest),
+		peer.WithSync(e.members.HandleSync),
+		peer.WithConfiguration(e.spread.HandleConfiguration),
+		peer.WithPush(e.spread.HandlePush))
+}
+
+// assembleQuery makes the path of a request from the caller to the targets.
+func (e *Entry) assembleQuery() {
+	e.dispatcher = dispatch.New(e.settings.Name, e.timers, dispatch.Functions{
+		Live:   e.owners,
+		Local:  e.runLocal,
+		Relay:  e.peers.Relay,
+		Direct: e.runLocal,
+	})
+	e.budget = budget.New(budget.WithTimers(e.timers))
+	router := routing.New(e.settings.AvailabilityZone, e.links.Standing, routing.WithSeed(e.seed))
+	e.claims = claim.New(e.timers, claim.WithStore(e.platform))
+	e.engine = &fanout.Engine{
+		Service:    e.service,
+		Pin:        e.pin,
+		Choose:     router.Choose,
+		Run:        e.runAttempt,
+		Claim:      e.claim,
+		Admit:      e.admit,
+		Withdraw:   e.catalog.Withdraw,
+		Overloaded: e.overloaded,
+		Random:     rand.Uint64,
+		Budget:     e.budget,
+		Hedge: hedge.New(hedge.WithTimers(e.timers), hedge.WithExtraLoad(func(service string) float64 {
+			s, _ := e.service(service)
+
+			return s.ExtraLoad
+		})),
+		Timers:     e.timers,
+		Log:        e.log,
+		ReturnPath: e.settings.ReturnPath,
+	}
+	e.callers = caller.NewHandler(e.answer, caller.WithReady(e.Ready))
+}
+
+// Ready returns nil when the balancer may send requests, and otherwise the reason why not.
+func (e *Entry) Ready() error {
+	switch {
+	case e.stopping.Load():
+		return errors.New("the instance is stopping")
+	case e.stale.Load():
+		return errors.New("the process was paused and refreshes what it knows")
+	case !e.keeper.Ready():
+		return errors.New("no configuration is known yet")
+	case !e.polled.Load():
+		return errors.New("the targets have not been asked yet")
+	default:
+		return nil
+	}
+}
+
+// Addresses returns the addresses at which the instance serves, for settings that leave the port to the system.
+func (e *Entry) Addresses() Addresses {
+	return e.listeners.addresses()
+}
+
+// Status returns what operators see of the instance.
+func (e *Entry) Status() operator.Status {
+	status := operator.Status{
+		Name:             e.settings.Name,
+		AvailabilityZone: e.settings.AvailabilityZone,
+	}
+	if err := e.Ready(); err != nil {
+		status.Reason = err.Error()
+	} else {
+		status.Ready = true
+	}
+	if active, ok := e.keeper.Current(); ok {
+		status.Revision, status.ApplyID = active.Revision, active.ApplyID
+		for name := range active.Configuration.Services {
+			status.Services = append(status.Services, name)
+		}
+	}
+	for _, m := range e.members.Members() {
+		status.Members = append(status.Members, operator.Member{
+			Name: m.Name, AvailabilityZone: m.AvailabilityZone, Peer: m.Peer, State: m.State.String(),
+		})
+	}
+	store, gossip := e.watcher.Traffic(), e.members.Traffic()
+	status.StoreCalls = store.Reads + store.Watches
+	status.ControlBytes = store.Bytes + gossip.BytesSent + gossip.BytesReceived
+	status.ControlMessages = gossip.MessagesSent + gossip.MessagesReceived
+
+	return status
+}
+
+// observe registers the values that are read when metrics are collected.
+func (e *Entry) observe() error {
+	values := []struct {
+		name, description string
+		read              func() float64
+	}{
+		{"hickorynotch.configuration.revision", "Revision of the configuration in force.",
+			func() float64 { return float64(e.keeper.Revision()) }},
+		{"hickorynotch.members.live", "Instances that this instance believes to be live.",
+			func() float64 { return float64(len(e.members.Live())) }},
+		{"hickorynotch.requests.in_flight", "Requests of callers in flight.",
+			func() float64 { return float64(e.callers.InFlight()) }},
+		{"hickorynotch.target.attempts", "Target requests since the start.",
+			func() float64 { return float64(e.engine.Statistics().Attempts) }},
+		{"hickorynotch.target.hedges", "Hedges since the start.",
+			func() float64 { return float64(e.engine.Statistics().Hedges) }},
+		{"hickorynotch.target.retries", "Retries since the start.",
+			func() float64 { return float64(e.engine.Statistics().Retries) }},
+		{"hickorynotch.target.restarts", "Requests restarted on a newer snapshot since the start.",
+			func() float64 { return float64(e.engine.Statistics().Restarts) }},
+		{"hickorynotch.target.mismatches", "Replies discarded because they belong to another attempt.",
+			func() float64 { return float64(e.engine.Statistics().Mismatches) }},
+		{"hickorynotch.bound.links", "Targets that found no place in the table of links.",
+			func() float64 { return float64(e.links.Full()) }},
+		{"hickorynotch.bound.members", "Members that found no place in the member table.",
+			func() float64 { return float64(e.members.Dropped()) }},
+		{"hickorynotch.bound.budget", "Services that found no place in the table of budgets.",
+			func() float64 { return float64(e.budget.Dropped()) }},
+	}
+	for _, v := range values {
+		if err := e.metrics.Observe(v.name, v.description, v.read); err != nil {
+			return fmt.Errorf("%s: %w", v.name, err)
+		}
+	}
+
+	return nil
+}
+
+// server is an http.Server with its listener.
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+func (s server) serve() error {
+	if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+
+	return nil
+}
+
+// newOperatorServer serves metrics and status.
+func (e *Entry) newOperatorServer() server {
+	return server{
+		Server: &http.Server{
+			Handler:           operator.NewHandler(e.metrics.Handler(), e.Status, e.settings.Profiling),
+			ReadHeaderTimeout: 5 * time.Second,
+		},
+		listener: e.listeners.operator,
+	}
+}
+
+// newCallerServer serves callers and the balancer.
+func (e *Entry) newCallerServer() server {
+	return server{Server: caller.NewServer(e.callers), listener: e.listeners.caller}
+}
+
+// onPause is called when the process did not run for a while: members, reports and leases may have changed.
+func (e *Entry) onPause(gap time.Duration) {
+	e.log.Log(event.InstanceFroze, "For", gap)
+	e.stale.Store(true)
+}
+
+// refresh learns the configuration and the reports anew after a pause.
+func (e *Entry) refresh(ctx context.Context) {
+	if err := e.watcher.Learn(ctx); err != nil {
+		return
+	}
+	e.poll(ctx)
+	e.stale.Store(false)
+}
--- /dev/null
+++ b/internal/run/entry/poll.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/value/set"
+	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	"github.com/hickorynotch/hickorynotch/internal/world/instance"
+)
+
+const (
+	// pollEvery is the time between two status polls of a target. A leaving target must get no new work after a few seconds.
+	pollEvery = time.Second
+	// pollTimeout bounds one status poll. It is below pollEvery so that polls do not pile up.
+	pollTimeout = 800 * time.Millisecond
+	// pollAtOnce bounds the polls in flight of one instance.
+	pollAtOnce = 32
+	// listEvery is the time between two reads of the platform's list, which lags by seconds itself.
+	listEvery = 5 * time.Second
+)
+
+// runPoll asks all targets of the configuration for their status once every pollEvery.
+func (e *Entry) runPoll(ctx context.Context) error {
+	ticks := e.timers.Subscribe(pollEvery)
+	defer ticks.Stop()
+	for {
+		if e.stale.Load() {
+			e.refresh(ctx)
+		} else {
+			e.poll(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C:
+		}
+	}
+}
+
+// poll asks every target once. It counts as done when a configuration was known.
+func (e *Entry) poll(ctx context.Context) {
+	active, ok := e.keeper.Current()
+	if !ok {
+		return
+	}
+	var addresses set.Set[netip.AddrPort]
+	for _, s := range active.Configuration.Services {
+		for _, replica := range s.Replicas {
+			addresses.Add(replica.Address)
+		}
+	}
+	e.pollAll(ctx, addresses.Values())
+	if ctx.Err() == nil && !e.polled.Swap(true) {
+		e.log.Log(event.InstanceReady, "Revision", active.Revision, "Targets", addresses.Len())
+	}
+}
+
+func (e *Entry) pollAll(ctx context.Context, addresses []netip.AddrPort) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	free := make(chan struct{}, pollAtOnce)
+	for _, address := range addresses {
+		select {
+		case <-ctx.Done():
+			return
+		case free <- struct{}{}:
+		}
+		running.Go(func() {
+			defer func() { <-free }()
+			e.pollOne(ctx, address)
+		})
+	}
+}
+
+// pollOne asks one target. A poll that fails says nothing: attempts decide whether a target is lost.
+func (e *Entry) pollOne(ctx context.Context, address netip.AddrPort) {
+	ctx, cancel := e.timers.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := e.targets.Status(ctx, address)
+	if err != nil {
+		return
+	}
+	e.catalog.Learn(address, report)
+	e.links.Learn(address, &report)
+}
+
+// runList reads the platform's list of leaving targets.
+func (e *Entry) runList(ctx context.Context) error {
+	ticks := e.timers.Subscribe(listEvery)
+	defer ticks.Stop()
+	available := true
+	for {
+		listed, err := e.platform.List(ctx)
+		switch {
+		case err == nil:
+			e.markLeaving(listed)
+		case available && ctx.Err() == nil:
+			e.log.Log(event.ListUnavailable, "Error", err)
+		}
+		available = err == nil
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C:
+		}
+	}
+}
+
+func (e *Entry) markLeaving(listed []platform.Listed) {
+	var leaving []netip.AddrPort
+	for _, l := range listed {
+		if l.Kind == platform.Target && l.State == platform.Leaving {
+			leaving = append(leaving, l.Address)
+		}
+	}
+	e.catalog.MarkLeaving(leaving)
+}
+
+// listedPeers returns the peer addresses of the instances on the platform's list.
+func (e *Entry) listedPeers(ctx context.Context) ([]netip.AddrPort, error) {
+	listed, err := e.platform.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var peers []netip.AddrPort
+	for _, l := range listed {
+		if l.Kind == platform.EntryInstance && l.State == platform.Live && l.Address != e.settings.Peer {
+			peers = append(peers, l.Address)
+		}
+	}
+
+	return peers, nil
+}
+
+// owners returns the instances that may own targets. With the variants that have no owners there is none but this one.
+func (e *Entry) owners() []instance.Instance {
+	if e.settings.Limit == LimitOwner {
+		return e.members.Live()
+	}
+
+	return []instance.Instance{e.members.Self()}
+}
--- /dev/null
+++ b/internal/run/entry/run.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+)
+
+// service is a supervised part of an instance.
+type service struct {
+	name  string
+	serve func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
+
+// String names the service in the supervisor's events.
+func (s service) String() string { return s.name }
+
+// Run serves until ctx ends and then stops gracefully. It returns nil after a graceful stop.
+func (e *Entry) Run(ctx context.Context) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	e.log.Log(event.InstanceStarting, "Instance", e.settings.Name, "AvailabilityZone", e.settings.AvailabilityZone,
+		"Caller", e.settings.Caller, "Peer", e.settings.Peer, "Operator", e.settings.Operator, "Seed", e.seed)
+	defer e.close()
+
+	// The parts outlive ctx, because a graceful stop needs them until the last request is answered.
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	callers, operators := e.newCallerServer(), e.newOperatorServer()
+	supervisor := e.newSupervisor()
+
+	var group run.Group
+	group.Add(func() error {
+		<-ctx.Done()
+		e.stop(context.WithoutCancel(ctx))
+
+		return nil
+	}, func(error) {})
+	group.Add(func() error { return ignoreCancel(supervisor.Serve(parts)) }, func(error) { stopParts() })
+	group.Add(func() error { return ignoreCancel(e.peerServer.Serve(parts, e.listeners.peer)) }, func(error) { stopParts() })
+	group.Add(callers.serve, func(error) { shutdown(callers) })
+	group.Add(operators.serve, func(error) { shutdown(operators) })
+
+	return group.Run()
+}
+
+func (e *Entry) newSupervisor() *suture.Supervisor {
+	supervisor := suture.New(e.settings.Name, suture.Spec{
+		EventHook: func(failed suture.Event) {
+			e.log.Log(event.ServiceFailed, "Reason", failed.String())
+		},
+		Timeout: 5 * time.Second,
+	})
+	for _, s := range []service{
+		{"membership", e.members.Run},
+		{"configuration spread", e.spread.Run},
+		{"configuration watcher", e.watcher.Run},
+		{"target poll", e.runPoll},
+		{"platform list", e.runList},
+	} {
+		supervisor.Add(s)
+	}
+
+	return supervisor
+}
+
+// stop finishes what is in flight. The order matters: the balancer and the peers stop sending before the wait begins.
+func (e *Entry) stop(ctx context.Context) {
+	e.log.Log(event.InstanceStopping, "InFlight", e.callers.InFlight())
+	e.stopping.Store(true)
+	e.members.Leave(ctx)
+	<-e.timers.After(e.settings.StopDelay)
+
+	bounded, cancel := e.timers.WithTimeout(ctx, e.settings.StopTimeout)
+	defer cancel()
+	err := errors.Join(e.callers.Drain(bounded), e.peerServer.Shutdown(bounded))
+	e.log.Log(event.InstanceStopped, "InFlight", e.callers.InFlight(), "Error", err)
+}
+
+// close releases what outlives the run group.
+func (e *Entry) close() {
+	e.targets.Close()
+	e.peers.Close()
+	e.platform.Close()
+	e.listeners.close()
+	_ = e.metrics.Shutdown(context.Background())
+}
+
+// shutdown ends a server whose requests were finished before. The bound is for replies that are still being written.
+func shutdown(s server) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+
+	return err
+}
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -166,7 +166,7 @@
 	switch {
 	case c != nil && c.over:
 		return wire.Overconnected, fmt.Sprintf("over %d connections", t.connections)
-	case q.Service != t.service:
+	case t.service != "" && q.Service != t.service:
 		return wire.BadQuery, fmt.Sprintf("Service: this target serves %q", t.service)
 	case t.draining():
 		return wire.Draining, "draining"
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -72,7 +72,7 @@
 // Option configures a Target.
 type Option func(*Target)
 
-// WithService names the service whose queries are served.
+// WithService names the service whose queries are served; without it, those of any service.
 func WithService(name string) Option { return func(t *Target) { t.service = name } }
 
 // WithHoldings sets the index versions and shards held at the start.
--- a/internal/wire/target/reply.go
+++ b/internal/wire/target/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/value/fault"
 )
@@ -23,6 +24,8 @@
 	Shards    int
 	Hits      []Hit
 	Report    Report
+	// Queued is how long the request waited at the target's owner. The owner sets it; targets do not know it.
+	Queued time.Duration `json:"-" cbor:",omitempty"`
 }
 
 // UnmarshalJSON decodes and checks r.
@@ -66,12 +69,13 @@
 type Report struct {
 	// Incarnation changes whenever the target process starts.
 	Incarnation uint64
-	Service     string
-	Draining    bool
-	Cold        bool
-	InFlight    int
-	Slots       int
-	Holdings    []Holding
+	// Service is the query service that the target answers for, empty if it answers for any.
+	Service  string
+	Draining bool
+	Cold     bool
+	InFlight int
+	Slots    int
+	Holdings []Holding
 }
 
 // Check returns the faults of r.
--- a/internal/world/link/link.go
+++ b/internal/world/link/link.go
@@ -137,6 +137,11 @@
 	}
 }
 
+// Standing returns how the link to address stands now.
+func (t *Table) Standing(address netip.AddrPort) Standing {
+	return t.Link(address).Standing()
+}
+
 // Begin records the start of an attempt at address.
 func (t *Table) Begin(address netip.AddrPort) *Use {
 	l := t.Link(address)
--- a/internal/world/snapshot/ranking.go
+++ b/internal/world/snapshot/ranking.go
@@ -31,7 +31,7 @@
 	holders := make(map[split]int)
 	for i, replica := range replicas {
 		r := c.targets[replica.Address]
-		if r == nil || r.draining || r.service != service || c.leaving.Has(replica.Address) {
+		if r == nil || r.draining || !r.serves(service) || c.leaving.Has(replica.Address) {
 			continue
 		}
 		records[i] = r
@@ -97,3 +97,9 @@
 
 	return float64(covered) / float64(len(p.Replicas))
 }
+
+// serves reports whether the target answers queries of service. A target without a service name serves any: several query
+// services may share an index.
+func (r *record) serves(service string) bool {
+	return r.service == "" || r.service == service
+}
