Let the budget retry each shard of one page

Cause: in make demo the first full page after the loss of a zone's targets got 1 of 4 shards. Three first attempts had met closed ports, and the budget held one token, whatever the size of the page. Ruled out: ejection (only after 3 failures) and the poll (1 s later). Change: the bucket always holds a token for each first attempt of its largest query, filled up after 10 s without spending.

--- a/internal/policy/budget/budget.go
+++ b/internal/policy/budget/budget.go
@@ -12,9 +12,10 @@
 // The bucket holds at most what the last 10 s of traffic earned, so that a quiet hour does not pay for a burst of retries.
 // While the service is overloaded the bucket is closed, because extra load makes an overload worse.
 //
-// At small traffic the fraction would round to no retry at all: a service with one shard and an ExtraLoad of 5% earns a
-// token in 20 requests. A bucket therefore starts with one token, can always hold one, and gets one after 10 s without
-// spending. This allows at most one extra request in 10 s for each service and instance, and none where ExtraLoad is 0.
+// At small traffic the fraction would round to no retry at all: a query of 20 shards and an ExtraLoad of 5% earns one token,
+// although the loss of an availability zone can cost it half of its first attempts. A bucket therefore starts with one token
+// for each first attempt of its largest query, can always hold that many, and is filled up to them after 10 s without
+// spending. This allows the retry of one whole query in 10 s for each service and instance, and none where ExtraLoad is 0.
 package budget
 
 import (
@@ -32,6 +33,8 @@
 	slots  = int64(window / time.Second)
 	// token is the unit in which fractions of tokens are counted. Integers keep sums of fractions exact.
 	token = 1_000_000
+	// maxFloor bounds the tokens that do not depend on traffic. Queries of 150 replicas are the largest expected.
+	maxFloor = 150
 	// MaxServices bounds the buckets. At the bound, buckets without traffic for idleAfter are dropped.
 	MaxServices = 4096
 	idleAfter   = 10 * time.Minute
@@ -54,7 +57,9 @@
 	// earned holds the earnings of the last seconds, and second is the newest of them, counted from the start.
 	earned [slots]int64
 	second int64
-	// grantAt is the time from which a bucket below one token gets one.
+	// floor is what the bucket can always hold: a token for each first attempt of the largest query.
+	floor int64
+	// grantAt is the time from which a bucket below the floor is filled up to it.
 	grantAt time.Time
 	used    time.Time
 	spent   uint64
@@ -96,7 +101,11 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if !k.open {
-		k.open, k.tokens, k.grantAt = true, token, now.Add(window)
+		k.open, k.grantAt = true, now.Add(window)
+	}
+	if floor := int64(min(n, maxFloor)) * token; floor > k.floor {
+		k.tokens += floor - k.floor
+		k.floor = floor
 	}
 	k.advance(now, b.start)
 	amount := int64(math.Round(min(fraction, 1)*token)) * int64(n)
@@ -122,8 +131,8 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.advance(now, b.start)
-	if k.open && k.tokens < token && !now.Before(k.grantAt) {
-		k.tokens = token
+	if k.open && k.tokens < k.floor && !now.Before(k.grantAt) {
+		k.tokens = k.floor
 	}
 	if !k.open || k.overloaded || k.tokens < int64(n)*token {
 		k.refused += uint64(n)
@@ -233,5 +242,5 @@
 	for _, amount := range k.earned {
 		capacity += amount
 	}
-	k.tokens = min(k.tokens, max(capacity, token))
+	k.tokens = min(k.tokens, max(capacity, k.floor))
 }
