Tell a lost target from a lost owner

Cause: an owner that could not connect to its target answered NotRun with Unreachable, the code that also stands for an owner that was not reached. The dispatcher therefore tried two relays and a direct connection before the fan-out could choose another replica. A leaving owner now answers OwnerLeaving, and only that or a peer that was not reached passes an attempt on.

--- a/internal/query/dispatch/dispatch.go
+++ b/internal/query/dispatch/dispatch.go
@@ -111,20 +111,29 @@
 			return reply, nil
 		}
 		failure := failureOf(err)
-		if failure.Outcome != target.NotRun || failure.Code != target.Unreachable {
+		if failure.Outcome != target.NotRun || !d.isPassedOn(owner.Peer, err, failure) {
 			return target.Reply{}, failure
 		}
 		d.relayed.Add(^uint64(0))
-		var unreached *peer.Unreached
-		if errors.As(err, &unreached) {
-			d.remember(owner.Peer)
-		}
 	}
 	a.Slots, a.Connections = 1, 1
 
 	return d.run(ctx, a, began, 0, &d.direct, d.functions.Direct)
 }
 
+// isPassedOn reports whether the next instance in order may run what this peer did not: the peer was not reached, or it leaves.
+// A target that the owner cannot reach is left to the choice of another replica.
+func (d *Dispatcher) isPassedOn(address netip.AddrPort, err error, failure *target.Failure) bool {
+	var unreached *peer.Unreached
+	if errors.As(err, &unreached) && failure.Code == target.Unreachable {
+		d.remember(address)
+
+		return true
+	}
+
+	return failure.Code == target.OwnerLeaving
+}
+
 // HandleRelay runs an attempt of a peer. It never relays: two instances with different views of ownership would otherwise
 // pass an attempt to and fro.
 func (d *Dispatcher) HandleRelay(ctx context.Context, _ peer.Sender, a attempt.Attempt) (target.Reply, error) {
--- a/internal/query/dispatch/dispatch_test.go
+++ b/internal/query/dispatch/dispatch_test.go
@@ -132,7 +132,7 @@
 		Entry("an instance of another zone", -1, first(0, nil), []int{0}, "relay"),
 		Entry("the owner not reached, this instance next in order", 1, first(1, unreached()), []int{0}, "local"),
 		Entry("the owner not reached", -1, first(1, unreached()), []int{0, 1}, "relay"),
-		Entry("the owner leaving", -1, first(1, failed(target.NotRun, target.Unreachable)), []int{0, 1}, "relay"),
+		Entry("the owner leaving", -1, first(1, failed(target.NotRun, target.OwnerLeaving)), []int{0, 1}, "relay"),
 		Entry("no one reached, bounded to two relays", -1, first(5, unreached()), []int{0, 1}, "direct"),
 	)
 
@@ -161,6 +161,8 @@
 		Entry("a stalled peer", failed(target.Unknown, target.Stalled), target.Unknown, target.Stalled),
 		Entry("an unreachable target that may have run it", failed(target.Unknown, target.Unreachable), target.Unknown, target.Unreachable),
 		Entry("an error without type", errors.New("fault"), target.Unknown, target.Broken),
+		Entry("a lost target, of which other instances would only find the same", failed(target.NotRun, target.Unreachable),
+			target.NotRun, target.Unreachable),
 		Entry("a target that sheds", failed(target.NotRun, target.Shed), target.NotRun, target.Shed),
 		Entry("a full queue at the owner", failed(target.NotRun, target.QueueFull), target.NotRun, target.QueueFull),
 	)
@@ -187,11 +189,11 @@
 		Expect(w.sent).To(Equal([]int{0, 1, 1, 0, 1}))
 		Expect(d.Counts()).To(Equal(dispatch.Counts{Relayed: 3, Avoided: 1}))
 
-		w = newWorld(first(1, failed(target.NotRun, target.Unreachable)))
+		w = newWorld(first(1, failed(target.NotRun, target.OwnerLeaving)))
 		d = w.dispatcher(-1)
 		do()
 		do()
-		Expect(w.sent).To(Equal([]int{0, 1, 0, 1}), "a target that cannot be reached does not make its owner unreachable")
+		Expect(w.sent).To(Equal([]int{0, 1, 0, 1}), "a leaving owner was reached, and the members tell soon")
 	})
 
 	It("passes on the time that remains and starts nothing when none does", func() {
--- a/internal/run/entry/query.go
+++ b/internal/run/entry/query.go
@@ -143,12 +143,18 @@
 		return link.Failed
 	}
 	switch failure.Code {
+	case target.OwnerLeaving:
+		return link.Abandoned
 	case target.Shed, target.Draining, target.TooLate, target.Overconnected, target.VersionUnavailable, target.BadQuery,
 		target.QueueFull:
 		return link.Refused
 	case target.Cancelled:
 		return link.Abandoned
 	default:
+		if failure.Reused {
+			return link.FailedReused
+		}
+
 		return link.Failed
 	}
 }
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -198,7 +198,7 @@
 	}
 	if !s.beginRelay() {
 		return &relayReply{Failure: &target.Failure{
-			Outcome: target.NotRun, Code: target.Unreachable, Message: "the instance is leaving",
+			Outcome: target.NotRun, Code: target.OwnerLeaving, Message: "the instance is leaving",
 		}}, nil
 	}
 	defer s.endRelay()
--- a/internal/wire/target/client.go
+++ b/internal/wire/target/client.go
@@ -229,6 +229,7 @@
 	response, err := c.transport.RoundTrip(request(httptrace.WithClientTrace(ctx, trace), address, method, path, body))
 	if err != nil {
 		failure = c.failed(ctx, address, used, started, err)
+		failure.Reused = reused
 		stale = failure.Code == Unreachable && reused && ctx.Err() == nil
 
 		return 0, nil, stale, failure
--- a/internal/wire/target/failure.go
+++ b/internal/wire/target/failure.go
@@ -38,6 +38,8 @@
 	Malformed   Code = "Malformed"   // the reply does not decode, is truncated or too large
 	Mismatched  Code = "Mismatched"  // the reply belongs to another query
 	QueueFull   Code = "QueueFull"   // the owner's queue for the target is at its bound
+	// OwnerLeaving means that the instance that was taken for the owner stops and takes no relays.
+	OwnerLeaving Code = "OwnerLeaving"
 )
 
 // Refusal is the body with which a target says that a query did not run. The identity fields repeat those of the query,
@@ -88,6 +90,8 @@
 	Message string
 	// Report is set when the target sent one.
 	Report *Report
+	// Reused is true when the attempt failed on a connection that had served others, which says nothing about the target.
+	Reused bool
 }
 
 // Error implements error.
