Test the bound on connections to a target

Cause: no test showed that an attempt that waits for a connection in vain is not run.

Change: a spec with one connection to a slow stand-in expects TooLate, not run, and one connection at the target.

--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -259,6 +259,27 @@
 		Expect(err).To(beFailure(wire.NotRun, wire.Overconnected))
 	})
 
+	It("says not run when the client's own connections to the target are all in use", func(ctx SpecContext) {
+		b := start(target.WithServiceTime(time.Minute, 0))
+		client := wire.NewClient(timer.New(timer.WithClock(b.clock)), wire.WithConnections(1))
+		reached := make(chan netip.AddrPort, 1)
+		client.OnBound = func(address netip.AddrPort) { reached <- address }
+		b.client = client
+		first := b.send(ctx, query("first"))
+		Eventually(b.ran).Should(Equal(1))
+		short := query("second")
+		short.Timeout /= 2
+		second := b.send(ctx, short)
+		Expect(b.clock.BlockUntilContext(ctx, 4)).To(Succeed(), "three waits for the first query, a deadline for the second")
+		b.clock.Advance(timeout * 3 / 4)
+		Eventually(second).Should(Receive(HaveField("Err", beFailure(wire.NotRun, wire.TooLate))))
+		Expect(reached).To(Receive(Equal(b.address)))
+		Expect(b.target.Journal().Connections).To(Equal(1))
+		b.clock.Advance(timeout)
+		// The clock passes the deadlines of both sides, so the target's refusal may or may not come first.
+		Eventually(first).Should(Receive(HaveField("Err", HaveField("Outcome", wire.Unknown))))
+	})
+
 	It("is slower when cold or slow, by the factor", func(ctx SpecContext) {
 		b := start(target.WithServiceTime(time.Millisecond, 0), target.WithColdStart(time.Second, 4))
 		Expect(b.target.Report().Cold).To(BeTrue())
