Refuse a non-idempotent request whose RequestID was generated

Cause: the handler gives a RequestID to a request without one, so the check for an empty RequestID in the fan-out never met a caller's request. A copy at another instance got another RequestID, and both could run. The fan-out now refuses a generated one; Admit learns whether the caller got an answer, so that refusals do not count as the time that a service needs.

Before: the new entry of the table ran. After: refused with BadRequest, not run; go test ./internal/query/... passes.

--- a/internal/query/fanout/fanout.go
+++ b/internal/query/fanout/fanout.go
@@ -58,9 +58,9 @@
 	// Claim records the RequestID of a non-idempotent request; release deletes the record. An error that is a
 	// *caller.Refusal is passed on, and any other one becomes ClaimUnavailable.
 	Claim func(ctx context.Context, requestID string) (release func(context.Context) error, err error)
-	// Admit waits for admission; done ends it. An error that is a *caller.Refusal is passed on as NotRun, and any other one
+	// Admit waits for admission; done ends it and says whether the caller got an answer. An error that is a *caller.Refusal is passed on as NotRun, and any other one
 	// becomes Overloaded.
-	Admit func(ctx context.Context, service string, s contract.Service) (done func(), err error)
+	Admit func(ctx context.Context, service string, s contract.Service) (done func(answered bool), err error)
 	// Withdraw learns that a target refused a version as unavailable.
 	Withdraw func(address netip.AddrPort, version uint64)
 	// Overloaded learns that a target or its owner refused an attempt for lack of capacity. Optional.
@@ -137,7 +137,7 @@
 		return err
 	}
 	var faults fault.List
-	if r.RequestID == "" && !s.Idempotent {
+	if (r.RequestID == "" || r.Generated) && !s.Idempotent {
 		faults.Add("RequestID", "must not be empty, because the service is not idempotent")
 	}
 	if r.Key == "" && s.Class == contract.OneRecord {
@@ -175,7 +175,8 @@
 
 		return caller.Answer{}, refusal
 	}
-	defer done()
+	answered := false
+	defer func() { done(answered) }()
 
 	var release func(context.Context) error
 	if s.ClaimsInStore() {
@@ -184,6 +185,7 @@
 		}
 	}
 	answer, refusal := newQuery(ctx, e, r, s, began, end).run(parent)
+	answered = refusal == nil
 	if refusal != nil && refusal.Outcome == target.NotRun && release != nil {
 		e.release(parent, r, refusal, release)
 	}
--- a/internal/query/fanout/fanout_test.go
+++ b/internal/query/fanout/fanout_test.go
@@ -101,7 +101,7 @@
 		Claim: func(context.Context, string) (func(context.Context) error, error) {
 			return func(ctx context.Context) error { b.released++; return errors.Join(b.unclaim, ctx.Err()) }, b.claimed
 		},
-		Admit: func(context.Context, string, contract.Service) (func(), error) { return func() {}, nil },
+		Admit: func(context.Context, string, contract.Service) (func(bool), error) { return func(bool) {}, nil },
 		Withdraw: func(address netip.AddrPort, _ uint64) {
 			b.mutex.Lock()
 			defer b.mutex.Unlock()
@@ -353,14 +353,14 @@
 		Entry("deadline too small", target.NotRun, caller.TooLate, nil,
 			func(b *bench) { b.request.Timeout = duration.Duration(5 * time.Millisecond) }),
 		Entry("deadline used up by admission", target.NotRun, caller.TooLate, nil, func(b *bench) {
-			b.engine.Admit = func(context.Context, string, contract.Service) (func(), error) {
+			b.engine.Admit = func(context.Context, string, contract.Service) (func(bool), error) {
 				b.clock.Advance(166 * time.Millisecond)
 
-				return func() {}, nil
+				return func(bool) {}, nil
 			}
 		}),
 		Entry("not admitted", target.NotRun, caller.Overloaded, nil, func(b *bench) {
-			b.engine.Admit = func(context.Context, string, contract.Service) (func(), error) { return nil, errors.New("full") }
+			b.engine.Admit = func(context.Context, string, contract.Service) (func(bool), error) { return nil, errors.New("full") }
 		}),
 		Entry("no version", target.NotRun, caller.NoTarget, nil, func(b *bench) { b.pins = nil }),
 		Entry("no replica reached", target.NotRun, caller.NoTarget, fail(target.NotRun, target.Unreachable), func(*bench) {}),
@@ -416,6 +416,8 @@
 		},
 		Entry("reply", run(reply), nil, 1, 0, nil),
 		Entry("without RequestID", nil, func(b *bench) { b.request.RequestID = "" }, 0, 0, &caller.Refusal{Outcome: target.NotRun, Code: caller.BadRequest}),
+		Entry("with a RequestID that only this instance knows", nil, func(b *bench) { b.request.Generated = true }, 0, 0,
+			&caller.Refusal{Outcome: target.NotRun, Code: caller.BadRequest}),
 		Entry("claim unavailable", nil, func(b *bench) {
 			b.claimed = &caller.Refusal{Outcome: target.NotRun, Code: caller.ClaimUnavailable}
 		}, 0, 0, &caller.Refusal{Outcome: target.NotRun, Code: caller.ClaimUnavailable}),
--- a/internal/run/entry/query.go
+++ b/internal/run/entry/query.go
@@ -60,13 +60,13 @@
 	return e.catalog.Pin(service, s.Replicas, newerThan)
 }
 
-func (e *Entry) admit(ctx context.Context, service string, s contract.Service) (done func(), err error) {
+func (e *Entry) admit(ctx context.Context, service string, s contract.Service) (done func(answered bool), err error) {
 	finish, err := e.admission.Admit(ctx, service, s)
 	if err != nil {
 		return nil, err
 	}
 
-	return func() { finish(admission.Result{Answered: true}) }, nil
+	return func(answered bool) { finish(admission.Result{Answered: answered}) }, nil
 }
 
 // claim records the RequestID of a non-idempotent request in the store and tells the reasons of a refusal apart.
