--- a/internal/policy/hedge/hedge.go
+++ b/internal/policy/hedge/hedge.go
@@ -88,20 +88,21 @@
 	return h
 }
 
-// Observe records the latency of a first attempt. For an attempt that was cancelled because a hedge won or the time was
+// Observe records the latencies of first attempts. For an attempt that was cancelled because a hedge won or the time was
 // over, the time until then is recorded as well: leaving out the slowest attempts would lower the quantile with each hedge.
-func (h *Hedge) Observe(service string, latency time.Duration) {
+func (h *Hedge) Observe(service string, latencies ...time.Duration) {
 	d := h.digest(service)
 	if d == nil {
 		return
 	}
 	now := h.timers.Now()
-	value := min(max(int64(latency/unit), 1), highest)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.rotate(h.window(now))
-	// The value is within the range of the histogram, which is the only cause of an error.
-	_ = d.recent[d.window%windows].RecordValue(value)
+	for _, latency := range latencies {
+		// The value is within the range of the histogram, which is the only cause of an error.
+		_ = d.recent[d.window%windows].RecordValue(min(max(int64(latency/unit), 1), highest))
+	}
 }
 
 // Delay returns the time after which a request of service may be hedged, or false if the service has no extra load or too
--- /dev/null
+++ b/internal/query/fanout/property_test.go
@@ -0,0 +1,182 @@
+package fanout_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hickorynotch/hickorynotch/internal/query/attempt"
+	"github.com/hickorynotch/hickorynotch/internal/value/duration"
+	"github.com/hickorynotch/hickorynotch/internal/wire/caller"
+	"github.com/hickorynotch/hickorynotch/internal/wire/target"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+)
+
+// fate is what happens to one attempt: nothing for wait, then result. An obedient attempt ends when it is cancelled.
+type fate struct {
+	wait     time.Duration
+	obedient bool
+	result   run
+}
+
+// journal counts the attempts that may have run, by version and shard, as the targets know it.
+type journal struct {
+	mutex sync.Mutex
+	ran   map[[2]int]int
+}
+
+func (j *journal) add(a attempt.Attempt, n int) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.ran[[2]int{int(a.Query.Version), a.Query.Shard}] += n
+}
+
+var fates = []run{
+	reply, reply, reply, reply,
+	fail(target.NotRun, target.Shed), fail(target.NotRun, target.QueueFull), unavailable, unavailable, unavailable,
+	fail(target.Unknown, target.Broken), fail(target.Unknown, target.Stalled),
+	wrong(func(r *target.Reply) { r.AttemptID += "x" }), wrong(func(r *target.Reply) { r.Shard++ }), wrong(func(r *target.Reply) { r.Version++ }),
+	func(context.Context, attempt.Attempt, int) (target.Reply, error) {
+		return target.Reply{}, errors.New("unforeseen")
+	},
+}
+
+// TestProperties guards the guarantees against orders of replies and failures that no table lists. rapid prints the seed of
+// a failure.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench()
+		shards := rapid.IntRange(1, 8).Draw(t, "shards")
+		b.pins[0] = pinOf(7, shards)
+		if rapid.Bool().Draw(t, "newer") {
+			b.pins = append(b.pins, pinOf(8, rapid.IntRange(1, 8).Draw(t, "newer shards")))
+		}
+		b.service.Class = rapid.SampledFrom([]contract.Class{contract.FullPage, contract.QuickMatch, contract.OneRecord}).Draw(t, "class")
+		b.service.FirstUseful = duration.Duration(40 * time.Millisecond)
+		b.service.Idempotent = rapid.Bool().Draw(t, "idempotent")
+		b.service.MinimumCoverage = rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "minimum")
+		b.engine.Budget.Earn("catalogue", 1, rapid.SampledFrom([]int{0, 3, 100}).Draw(t, "tokens"))
+		drawn := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fate {
+			return fate{
+				wait:     time.Duration(rapid.SampledFrom([]int{0, 0, 0, 5, 20, 60, 300}).Draw(t, "wait")) * time.Millisecond,
+				obedient: rapid.Bool().Draw(t, "obedient"),
+				result:   rapid.SampledFrom(fates).Draw(t, "result"),
+			}
+		}), 48, 48).Draw(t, "fates")
+		gone := time.Duration(rapid.SampledFrom([]int{30, 1000, 1000, 1000}).Draw(t, "gone")) * time.Millisecond
+
+		j := &journal{ran: map[[2]int]int{}}
+		b.script = func(ctx context.Context, a attempt.Attempt, n int) (target.Reply, error) {
+			j.add(a, 1)
+			f := drawn[(int(a.Query.Version-7)*24+a.Query.Shard*3+n)%len(drawn)]
+			var cancelled <-chan struct{}
+			if f.obedient {
+				cancelled = ctx.Done()
+			}
+			if f.wait > 0 {
+				select {
+				case <-b.clock.After(f.wait):
+				case <-cancelled:
+				}
+			}
+			r, err := f.result(ctx, a, n)
+			if err != nil && target.OutcomeOf(err) == target.NotRun {
+				j.add(a, -1)
+			}
+
+			return r, err
+		}
+		answer, refusal := drive(t, b, gone)
+		check(t, b, j, answer, refusal)
+	})
+}
+
+// drive answers the request while the clock runs, and cancels it after gone.
+func drive(t *rapid.T, b *bench, gone time.Duration) (answer caller.Answer, refusal *caller.Refusal) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	b.clock.AfterFunc(gone, cancel)
+	done := make(chan struct{})
+	var err error
+	go func() {
+		defer close(done)
+		answer, err = b.engine.Answer(ctx, b.request)
+	}()
+	started := b.clock.Now()
+	for running := true; running; {
+		if b.clock.Since(started) > time.Hour {
+			t.Fatalf("the request does not end")
+		}
+		select {
+		case <-done:
+			running = false
+		default:
+			b.clock.Advance(time.Millisecond)
+			runtime.Gosched()
+		}
+	}
+	if err != nil && !errors.As(err, &refusal) {
+		t.Fatalf("error is no refusal: %v", err)
+	}
+
+	return answer, refusal
+}
+
+func check(t *rapid.T, b *bench, j *journal, answer caller.Answer, refusal *caller.Refusal) {
+	j.mutex.Lock()
+	ran := maps.Clone(j.ran)
+	j.mutex.Unlock()
+	versions, total := map[int]bool{}, 0
+	for shard, n := range ran {
+		if n > 0 {
+			versions[shard[0]] = true
+		}
+		total += n
+		if !b.service.Idempotent && (n > 1 || len(versions) > 1) {
+			t.Fatalf("a non-idempotent request ran more than once: %v", ran)
+		}
+	}
+	released := 0
+	if refusal != nil && refusal.Outcome == target.NotRun {
+		if total > 0 {
+			t.Fatalf("%v, but it may have run: %v", refusal, ran)
+		}
+		if !b.service.Idempotent {
+			released = 1
+		}
+	}
+	if b.released != released {
+		t.Fatalf("claim released %d times, want %d", b.released, released)
+	}
+	if refusal != nil {
+		return
+	}
+
+	merged := map[string]bool{}
+	for _, hit := range answer.Hits {
+		merged[hit.Key] = true
+		if !strings.HasPrefix(hit.Key, fmt.Sprint(answer.Snapshot.Version, "/")) {
+			t.Fatalf("hit %s in an answer of version %d", hit.Key, answer.Snapshot.Version)
+		}
+	}
+	c := answer.Coverage
+	if len(merged) != len(answer.Hits) || len(merged) != c.Answered || c.Asked != c.Answered+len(c.Missing) || c.Whole != (len(c.Missing) == 0) {
+		t.Fatalf("coverage %+v of hits %v", c, answer.Hits)
+	}
+	for _, shard := range c.Missing {
+		if merged[fmt.Sprint(answer.Snapshot.Version, "/", shard)] {
+			t.Fatalf("missing shard %d was merged", shard)
+		}
+	}
+	if c.Fraction() < b.service.MinimumCoverage {
+		t.Fatalf("coverage %v below %v", c.Fraction(), b.service.MinimumCoverage)
+	}
+}
