--- a/internal/query/fanout/fanout.go
+++ b/internal/query/fanout/fanout.go
@@ -58,8 +58,8 @@
 	// Claim records the RequestID of a non-idempotent request; release deletes the record. An error that is a
 	// *caller.Refusal is passed on, and any other one becomes ClaimUnavailable.
 	Claim func(ctx context.Context, requestID string) (release func(context.Context) error, err error)
-	// Admit waits for admission; done ends it and says whether the caller got an answer. An error that is a *caller.Refusal is passed on as NotRun, and any other one
-	// becomes Overloaded.
+	// Admit waits for admission; done ends it and says whether the caller got an answer. An error that is a *caller.Refusal
+	// is passed on as NotRun, and any other one becomes Overloaded.
 	Admit func(ctx context.Context, service string, s contract.Service) (done func(answered bool), err error)
 	// Withdraw learns that a target refused a version as unavailable.
 	Withdraw func(address netip.AddrPort, version uint64)
--- a/internal/query/fanout/fanout_test.go
+++ b/internal/query/fanout/fanout_test.go
@@ -162,8 +162,14 @@
 	return answer, refusal
 }
 
-// waiting blocks until the engine has set n timers: one for the deadline, one for FirstUseful, and one for hedges once all
-// but one of 5 shards have answered.
+// straggling blocks until all attempts of the first round have reached a target and all but one have answered. The engine
+// has then set a timer for hedges, besides those for the deadline and FirstUseful.
+func (b *bench) straggling(timers int) {
+	Eventually(b.sent).Should(Equal(5))
+	b.waiting(timers)
+}
+
+// waiting blocks until the engine has set n timers.
 func (b *bench) waiting(n int) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -306,7 +312,7 @@
 
 			return reply(ctx, a, n)
 		}, reply)
-		answer, refusal := b.during(func(func()) { b.waiting(2); b.clock.Advance(11 * time.Millisecond) })
+		answer, refusal := b.during(func(func()) { b.straggling(2); b.clock.Advance(11 * time.Millisecond) })
 		Expect(refusal).To(BeNil())
 		Expect(answer.Coverage.Whole).To(BeTrue())
 		Expect(answer.Hits).To(HaveLen(5))
@@ -319,7 +325,7 @@
 		b := newBench()
 		b.script = shard0(stall(target.Unknown))
 		b.engine.Budget.SetOverloaded("catalogue", true)
-		answer, refusal := b.during(func(func()) { b.waiting(2); b.clock.Advance(170 * time.Millisecond) })
+		answer, refusal := b.during(func(func()) { b.straggling(2); b.clock.Advance(170 * time.Millisecond) })
 		Expect(refusal).To(BeNil())
 		Expect(answer.Coverage.Missing).To(Equal([]int{0}))
 		Expect(b.sent()).To(Equal(5))
@@ -334,7 +340,7 @@
 
 			return stall(target.Unknown)(ctx, a, n)
 		})
-		answer, refusal := b.during(func(func()) { b.waiting(3); b.clock.Advance(40 * time.Millisecond) })
+		answer, refusal := b.during(func(func()) { b.straggling(3); b.clock.Advance(40 * time.Millisecond) })
 		Expect(refusal).To(BeNil())
 		Expect(answer.Coverage).To(Equal(caller.Coverage{Asked: 5, Answered: 4, Missing: []int{0}}))
 		Eventually(cancelled).Should(BeClosed())
