Add the bench of policies side by side

Cause: no figures existed for latency, coverage and extra load under faults, and no way to compare the policies with simpler ones. Change: cmd/bench with a load generator and a report, scripts/bench, make bench and bench-short. Hedging, its budget and the early return are settings of the instance.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build test lint format tools clean demo
+.PHONY: build test lint format tools clean demo bench bench-short bench-limits
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -16,6 +16,16 @@
 demo: build
 	scripts/demo
 
+# Measures the policies side by side; docs/BENCH.md explains the figures. bench takes up to 5 minutes, bench-short 50 s.
+bench: build
+	scripts/bench full
+
+bench-short: build
+	scripts/bench short
+
+bench-limits: build
+	scripts/bench limits
+
 tools: $(LINT)
 
 $(LINT):
--- /dev/null
+++ b/cmd/bench/bench.go
@@ -0,0 +1,333 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/bench/load"
+	"github.com/hickorynotch/hickorynotch/internal/bench/report"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/value/duration"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+)
+
+const (
+	// serviceTime and spread are those of the stand-in targets in scripts/bench. The mean of their log-normal distribution
+	// is 4.6% above the median. They decide the rates of the overload; the capacity that the result is compared with comes
+	// from the journals.
+	serviceTime = 4 * time.Millisecond
+	meanFactor  = 1.046
+	// catalogueQueries is the number of queries that the targets of the catalogue run at a time: 40 replicas with 2 slots.
+	catalogueQueries = 80
+)
+
+// key is a cell of the report.
+type key struct{ phase, class, policy string }
+
+// cell is what was measured for a key.
+type cell struct {
+	result   *load.Result
+	counters load.Counters
+	// spans are the times of the slices.
+	spans []span
+	class load.Class
+}
+
+type span struct{ from, to time.Time }
+
+// bench is one run.
+type bench struct {
+	timers    *timer.Service
+	generator *load.Generator
+	control   *load.Control
+	seed      uint64
+	fleets    fleets
+	services  map[string]map[string]contract.Service
+
+	mutex   sync.Mutex
+	cells   map[key]*cell
+	order   []key
+	used    map[string]*load.Counters // by policy
+	version uint64
+}
+
+// run runs all groups and returns the report.
+func (b *bench) run(ctx context.Context, plan string, groups []group) (*report.Report, error) {
+	b.cells, b.used, b.version = make(map[key]*cell), make(map[string]*load.Counters), 1
+	policies := b.policies()
+	slice := 0
+	for _, g := range groups {
+		for round := range g.rounds {
+			for _, p := range g.phases {
+				// The order of policies rotates, so that none is always the first after a change of faults.
+				for i := range policies {
+					policy := policies[(i+round)%len(policies)]
+					if err := b.slice(ctx, p, policy, round, slice); err != nil {
+						return nil, err
+					}
+					slice++
+				}
+			}
+		}
+	}
+
+	return b.report(ctx, plan)
+}
+
+// policies returns the names of the policies in the order of the flags.
+func (b *bench) policies() (names []string) {
+	for _, f := range b.fleets {
+		if !slices.Contains(names, f.policy) {
+			names = append(names, f.policy)
+		}
+	}
+
+	return names
+}
+
+// slice sets the faults of p, loads the instances of one policy, and lifts the faults.
+func (b *bench) slice(ctx context.Context, p phase, policy string, round, number int) error {
+	// Arrivals and faults are the same for all policies of a round. Draining is an exception: its target stays unused, so that
+	// each policy loses another one.
+	seed := b.seed ^ uint64(round+1)<<32
+	source := rand.New(rand.NewPCG(seed, 1))
+	if p.name == draining {
+		source = rand.New(rand.NewPCG(seed, uint64(number)))
+	}
+	all := b.addresses()
+	if p.faults != nil {
+		if err := b.control.SetFaults(ctx, p.faults(source, b.faulty(p))); err != nil {
+			return err
+		}
+	}
+	var changed chan error
+	if p.name == versions {
+		changed = make(chan error, 1)
+		go func() { changed <- b.changeVersion(ctx, p.slice) }()
+	}
+	var running sync.WaitGroup
+	failures := make(chan error, len(b.fleets))
+	for _, f := range b.fleets {
+		if f.policy != policy {
+			continue
+		}
+		classes := b.classes(f, p)
+		if len(classes) == 0 {
+			continue
+		}
+		running.Go(func() {
+			failures <- b.load(ctx, f, p, classes, seed, number)
+		})
+	}
+	running.Wait()
+	close(failures)
+	for err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	if changed != nil {
+		if err := <-changed; err != nil {
+			return err
+		}
+	}
+	if p.faults == nil {
+		return nil
+	}
+
+	return b.control.SetFaults(ctx, none(all))
+}
+
+// load runs one slice against one fleet and adds what it measured.
+func (b *bench) load(ctx context.Context, f fleet, p phase, classes []load.Class, seed uint64, number int) error {
+	before, err := b.control.Read(ctx, f.instances)
+	if err != nil {
+		return err
+	}
+	s := load.Slice{Classes: classes, Length: p.slice, Seed: seed, Prefix: fmt.Sprintf("%s-%s-%d", f.policy, f.deployment, number)}
+	for _, i := range f.instances {
+		s.Callers = append(s.Callers, i.Caller)
+	}
+	from := b.timers.Now()
+	results := b.generator.Run(ctx, s)
+	to := b.timers.Now()
+	after, err := b.control.Read(ctx, f.instances)
+	if err != nil {
+		return err
+	}
+	after.Add(before, -1)
+
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.used[f.policy] == nil {
+		empty := load.NewCounters()
+		b.used[f.policy] = &empty
+	}
+	b.used[f.policy].Add(after, 1)
+	for i, class := range classes {
+		k := key{p.name, class.Service, f.policy}
+		c := b.cells[k]
+		if c == nil {
+			c = &cell{result: load.NewResult(), counters: load.NewCounters(), class: class}
+			b.cells[k] = c
+			b.order = append(b.order, k)
+		}
+		c.result.Add(results[i])
+		c.counters.Add(after, 1)
+		c.spans = append(c.spans, span{from, to})
+	}
+
+	return nil
+}
+
+// classes returns the load of a phase on a fleet.
+func (b *bench) classes(f fleet, p phase) (classes []load.Class) {
+	services := b.services[f.deployment]
+	wanted := rates[f.deployment]
+	if p.capacity > 0 {
+		if _, ok := services["catalogue"]; !ok {
+			return nil
+		}
+		pages := catalogueQueries / (serviceTime.Seconds() * slowFactor * meanFactor) / float64(shards["catalogue"])
+		wanted = map[string]float64{"catalogue": p.capacity * pages / 2, "catalogue-quick": p.capacity * pages / 2}
+	}
+	for _, name := range slices.Sorted(maps.Keys(wanted)) {
+		s := services[name]
+		classes = append(classes, load.Class{
+			Service: name, Contract: s, Shards: asked(name, s.Class == contract.OneRecord), Rate: wanted[name],
+		})
+	}
+
+	return classes
+}
+
+// changeVersion brings the catalogue to the next index version during a slice, and withdraws the old one before its end.
+func (b *bench) changeVersion(ctx context.Context, length time.Duration) error {
+	addresses := b.catalogue()
+	next := b.version + 1
+	for _, step := range []func() error{
+		func() error { return b.control.SetFaults(ctx, addVersion(addresses, next)) },
+		func() error { return b.control.SetFaults(ctx, withdrawVersion(addresses, next-1)) },
+	} {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-b.timers.After(length / 3):
+		}
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	b.version = next
+
+	return nil
+}
+
+// addresses returns all targets, those of the catalogue first.
+func (b *bench) addresses() []netip.AddrPort {
+	addresses := b.catalogue()
+	for _, deployment := range slices.Sorted(maps.Keys(b.services)) {
+		services := b.services[deployment]
+		for _, name := range slices.Sorted(maps.Keys(services)) {
+			for _, r := range services[name].Replicas {
+				if !slices.Contains(addresses, r.Address) {
+					addresses = append(addresses, r.Address)
+				}
+			}
+		}
+	}
+
+	return addresses
+}
+
+// faulty returns the targets that the faults of p may hit. Phases with one faulty target take one of the catalogue, and
+// overload is measured there.
+func (b *bench) faulty(p phase) []netip.AddrPort {
+	switch p.name {
+	case stragglers, many:
+		return b.addresses()
+	default:
+		return b.catalogue()
+	}
+}
+
+func (b *bench) catalogue() (addresses []netip.AddrPort) {
+	for _, deployment := range slices.Sorted(maps.Keys(b.services)) {
+		for _, r := range b.services[deployment]["catalogue"].Replicas {
+			addresses = append(addresses, r.Address)
+		}
+	}
+
+	return addresses
+}
+
+// report reads the journals and computes the figures.
+func (b *bench) report(ctx context.Context, plan string) (*report.Report, error) {
+	addresses := b.addresses()
+	journals, err := b.control.Journals(ctx, addresses)
+	if err != nil {
+		return nil, err
+	}
+	ledger := load.NewLedger(journals)
+	r := &report.Report{
+		Header: []string{
+			"Both deployments on loopback, scaled to a shared machine: " + fmt.Sprint(rates) + " requests a second.",
+			fmt.Sprintf("Targets take %s (median). The overload phases make them %d times as slow instead of raising the load to what "+
+				"would saturate the machine.", serviceTime, slowFactor),
+			"Policies run in alternation against the same targets. Latencies are those of answered requests, from the scheduled arrival.",
+		},
+		Seed:      b.seed,
+		Processor: make(map[string]duration.Duration),
+	}
+	faults := make(map[key]load.Faults)
+	for _, k := range b.order {
+		c := b.cells[k]
+		faults[k] = ledger.Audit(c.result.Records)
+		r.Rows = append(r.Rows, row(k, c, faults[k]))
+	}
+	for policy, c := range b.used {
+		sent := 0.0
+		for service := range c.Attempts {
+			sent += c.Sent(service)
+		}
+		r.Processor[policy] = duration.Duration(float64(c.Processor) / max(sent, 1))
+	}
+	if ledger.Dropped > 0 {
+		r.Notes = append(r.Notes, fmt.Sprintf("The journals dropped %d entries; counts of runs are not complete.", ledger.Dropped))
+	}
+	if plan != "limits" {
+		r.Targets = b.targets(ledger, faults)
+	}
+
+	return r, nil
+}
+
+func row(k key, c *cell, f load.Faults) report.Row {
+	sent := c.counters.Sent(k.class)
+
+	return report.Row{
+		Phase: k.phase, Class: k.class, Policy: k.policy,
+		Sent: c.result.Sent, Unsent: c.result.Unsent,
+		P50:       duration.Duration(c.result.Quantile(50)),
+		P99:       duration.Duration(c.result.Quantile(99)),
+		P999:      duration.Duration(c.result.Quantile(99.9)),
+		Whole:     float64(c.result.Whole) / float64(max(c.result.Sent+c.result.Unsent, 1)),
+		Coverage:  c.result.Coverage / float64(max(c.result.Answers(), 1)),
+		ExtraLoad: c.extraLoad(),
+		Shed:      c.counters.Sent(k.class, "Shed") / max(sent, 1),
+		Worth:     c.result.Worth,
+		Doubled:   f.Doubled,
+		Refusals:  c.result.Refusals,
+	}
+}
+
+// extraLoad returns the target requests beyond the needed ones, as a share of those.
+func (c *cell) extraLoad() float64 {
+	return c.counters.Sent(c.class.Service)/float64(max(c.result.Needed, 1)) - 1
+}
--- a/cmd/hickorynotch/serve.go
+++ b/cmd/hickorynotch/serve.go
@@ -32,6 +32,10 @@
 	platform    *netip.AddrPort
 	seeds       *[]netip.AddrPort
 	limit       *string
+	hedge       *string
+	hedgeDelay  *time.Duration
+	hedgeBudget *bool
+	earlyReturn *bool
 	running     *int
 	returnPath  *time.Duration
 	stopDelay   *time.Duration
@@ -65,6 +69,13 @@
 	c.seeds = c.settings.AddrPorts("seeds", nil, "peer addresses to join through, beside those of the platform's list")
 	c.limit = c.settings.String("limit", string(entry.LimitOwner), "how instances share a target's slots: owner, split or adaptive",
 		setting.Check(func() error { return entry.Limit(*c.limit).Check() }))
+	c.hedge = c.settings.String("hedge", string(entry.HedgingAdaptive),
+		"how late target requests are hedged: off, fixed or adaptive",
+		setting.Check(func() error { return entry.Hedging(*c.hedge).Check() }))
+	c.hedgeDelay = c.settings.Duration("hedge-delay", 10*time.Millisecond, time.Millisecond, time.Minute,
+		"age at which -hedge fixed sends a hedge")
+	c.hedgeBudget = c.settings.Bool("hedge-budget", true, "let hedges draw from the budget of their service")
+	c.earlyReturn = c.settings.Bool("early-return", true, "let QuickMatch requests return at FirstUseful")
 	c.running = c.settings.Int("running", 256, 1, 65536, "caller requests that run at a time; more wait")
 	c.returnPath = c.settings.Duration("return-path", 3*time.Millisecond, 0, time.Second,
 		"time that an answer needs to reach the caller, taken from the deadline")
@@ -102,6 +113,10 @@
 		Platform:         *c.platform,
 		Seeds:            *c.seeds,
 		Limit:            entry.Limit(*c.limit),
+		Hedging:          entry.Hedging(*c.hedge),
+		HedgeDelay:       *c.hedgeDelay,
+		FreeHedges:       !*c.hedgeBudget,
+		AwaitAll:         !*c.earlyReturn,
 		Running:          *c.running,
 		ReturnPath:       *c.returnPath,
 		StopDelay:        *c.stopDelay,
--- a/internal/query/fanout/fanout.go
+++ b/internal/query/fanout/fanout.go
@@ -71,6 +71,13 @@
 	Budget *budget.Budget
 	Hedge  *hedge.Hedge
 	Timers *timer.Service
+	// HedgeDelay, HedgeSpend and HedgeQuorum replace parts of the hedging policy: the age at which an attempt is hedged, what
+	// pays for it, and how many of the other shards must have answered before. Optional.
+	HedgeDelay  func(service string) (time.Duration, bool)
+	HedgeSpend  func(service string, n int) bool
+	HedgeQuorum func(shards int) int
+	// FirstAnswer replaces the time after which a QuickMatch query answers with what it has. Optional.
+	FirstAnswer func(s *contract.Service) time.Duration
 	// Log is optional.
 	Log *event.Log
 	// ReturnPath is the time that an answer needs on its way to the caller. It is taken from the deadline.
@@ -238,6 +245,42 @@
 	return refusal
 }
 
+// hedgeDelay returns the age at which an attempt of service is hedged, and false if it is not.
+func (e *Engine) hedgeDelay(service string) (time.Duration, bool) {
+	if e.HedgeDelay != nil {
+		return e.HedgeDelay(service)
+	}
+
+	return e.Hedge.Delay(service)
+}
+
+// hedgeSpend reports whether n hedges of service are paid for.
+func (e *Engine) hedgeSpend(service string, n int) bool {
+	if e.HedgeSpend != nil {
+		return e.HedgeSpend(service, n)
+	}
+
+	return e.Budget.Spend(service, n)
+}
+
+// hedgeQuorum returns how many shards must have answered before the rest is hedged: 80% of the other shards.
+func (e *Engine) hedgeQuorum(shards int) int {
+	if e.HedgeQuorum != nil {
+		return e.HedgeQuorum(shards)
+	}
+
+	return ((shards-1)*4 + 4) / 5
+}
+
+// firstAnswer returns the time after which a request of s answers with what it has.
+func (e *Engine) firstAnswer(s *contract.Service) time.Duration {
+	if e.FirstAnswer != nil {
+		return e.FirstAnswer(s)
+	}
+
+	return s.FirstAnswer()
+}
+
 // timeout returns the time that a target has if it is asked now.
 func (e *Engine) timeout(end, now time.Time) time.Duration {
 	return end.Sub(now) - hopMargin
--- a/internal/query/fanout/query.go
+++ b/internal/query/fanout/query.go
@@ -129,7 +129,7 @@
 	q.begin(pin, now)
 	e.Budget.Earn(q.request.Service, q.service.ExtraLoad, q.round.sent)
 
-	if q.service.FirstAnswer() < q.service.Deadline.Std() {
+	if e.firstAnswer(q.service) < q.service.Deadline.Std() {
 		defer e.Timers.AfterFunc(q.firstAnswer().Sub(now), q.queue.signal)()
 	}
 	over := false
@@ -148,7 +148,7 @@
 }
 
 func (q *query) firstAnswer() time.Time {
-	return q.began.Add(q.service.FirstAnswer())
+	return q.began.Add(q.engine.firstAnswer(q.service))
 }
 
 // isEarly reports whether the query ends before all shards answered. A QuickMatch query ends at FirstUseful if its
@@ -169,7 +169,7 @@
 	e := q.engine
 	r := &round{pin: pin}
 	if q.service.Idempotent {
-		r.delay, r.hedging = e.Hedge.Delay(q.request.Service)
+		r.delay, r.hedging = e.hedgeDelay(q.request.Service)
 	}
 	if q.service.Class == contract.OneRecord {
 		r.shards = make([]shard, 1)
@@ -414,7 +414,7 @@
 // before that the service as a whole is slow and more load does not help. A query of one shard has no others to wait for.
 func (q *query) hedge(now time.Time, more bool) {
 	r := q.round
-	if !more || !r.hedging || r.open == 0 || r.answered*5 < (len(r.shards)-1)*4 {
+	if !more || !r.hedging || r.open == 0 || r.answered < q.engine.hedgeQuorum(len(r.shards)) {
 		return
 	}
 	var next time.Time
@@ -447,7 +447,7 @@
 	if timeout < minimumTimeout {
 		return
 	}
-	if replica, ok := q.choose(s); ok && e.Budget.Spend(q.request.Service, 1) {
+	if replica, ok := q.choose(s); ok && e.hedgeSpend(q.request.Service, 1) {
 		e.counters.hedges.Add(1)
 		q.start(&flight{id: q.attemptIDs(1)[0]}, s, replica, hedged, now, timeout)
 	}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -223,9 +223,27 @@
 		Log:        e.log,
 		ReturnPath: e.settings.ReturnPath,
 	}
+	e.hedging()
 	e.callers = caller.NewHandler(e.answer, caller.WithReady(e.Ready))
 }
 
+// hedging replaces the hedging policy of the engine by the one of the settings.
+func (e *Entry) hedging() {
+	switch e.settings.Hedging {
+	case HedgingOff:
+		e.engine.HedgeDelay = func(string) (time.Duration, bool) { return 0, false }
+	case HedgingFixed:
+		e.engine.HedgeDelay = func(string) (time.Duration, bool) { return e.settings.HedgeDelay, true }
+		e.engine.HedgeQuorum = func(int) int { return 0 }
+	}
+	if e.settings.FreeHedges {
+		e.engine.HedgeSpend = func(string, int) bool { return true }
+	}
+	if e.settings.AwaitAll {
+		e.engine.FirstAnswer = func(s *contract.Service) time.Duration { return s.Deadline.Std() }
+	}
+}
+
 // Ready returns nil when the balancer may send requests, and otherwise the reason why not.
 func (e *Entry) Ready() error {
 	switch {
--- a/internal/run/entry/settings.go
+++ b/internal/run/entry/settings.go
@@ -31,6 +31,26 @@
 	}
 }
 
+// Hedging is a way to hedge late target requests.
+type Hedging string
+
+// The ways to hedge. HedgingAdaptive is the policy of package hedge; the others are what it is measured against.
+const (
+	HedgingOff      Hedging = "off"
+	HedgingFixed    Hedging = "fixed"
+	HedgingAdaptive Hedging = "adaptive"
+)
+
+// Check returns an error if h is no known way.
+func (h Hedging) Check() error {
+	switch h {
+	case HedgingOff, HedgingFixed, HedgingAdaptive:
+		return nil
+	default:
+		return fmt.Errorf("%q is not one of off, fixed and adaptive", string(h))
+	}
+}
+
 // Settings is what an instance learns from flags and environment variables.
 type Settings struct {
 	Name             string
@@ -45,6 +65,14 @@
 	Seeds []netip.AddrPort
 	// Limit is the way in which instances share a target's slots.
 	Limit Limit
+	// Hedging is the way to hedge late target requests; empty means HedgingAdaptive. HedgeDelay is the age at which
+	// HedgingFixed sends a hedge, whatever the other shards do.
+	Hedging    Hedging
+	HedgeDelay time.Duration
+	// FreeHedges lets hedges take no tokens from the budget.
+	FreeHedges bool
+	// AwaitAll lets QuickMatch requests wait for every shard until the deadline.
+	AwaitAll bool
 	// Running bounds the caller requests that run at a time.
 	Running int
 	// ReturnPath is the time that an answer needs to reach the caller.
--- a/internal/standin/target/journal.go
+++ b/internal/standin/target/journal.go
@@ -32,6 +32,9 @@
 	// Dropped counts the entries that the bound pushed out.
 	Dropped int
 	Entries []Entry
+	// Arrived lists the RequestIDs of non-idempotent queries that were read whole, whether they ran or not. It has the bound
+	// of Entries, and entries beyond it are left out.
+	Arrived []string `json:",omitempty"`
 }
 
 type journal struct {
@@ -41,6 +44,7 @@
 	silenced    int
 	dropped     int
 	entries     []*Entry
+	arrived     []string
 }
 
 // Journal returns a copy of the journal.
@@ -54,6 +58,7 @@
 		Silenced:    t.journal.silenced,
 		Dropped:     t.journal.dropped,
 		Entries:     make([]Entry, 0, len(t.journal.entries)),
+		Arrived:     slices.Clone(t.journal.arrived),
 	}
 	for _, e := range t.journal.entries {
 		copied.Entries = append(copied.Entries, *e)
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -152,6 +152,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.journal.received++
+	if !q.Idempotent && len(t.journal.arrived) < t.journal.bound {
+		t.journal.arrived = append(t.journal.arrived, q.RequestID)
+	}
 	previous := t.previous
 	t.previous = *q
 
