Measure the limit variants against each other

Cause: the choice of the owner variant rested on arithmetic alone. The stand-in target counts the most connections that were open at a time.

--- a/cmd/bench/bench.go
+++ b/cmd/bench/bench.go
@@ -13,6 +13,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/bench/load"
 	"github.com/hickorynotch/hickorynotch/internal/bench/report"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/standin/target"
 	"github.com/hickorynotch/hickorynotch/internal/value/duration"
 	"github.com/hickorynotch/hickorynotch/internal/world/contract"
 )
@@ -301,13 +302,48 @@
 	if ledger.Dropped > 0 {
 		r.Notes = append(r.Notes, fmt.Sprintf("The journals dropped %d entries; counts of runs are not complete.", ledger.Dropped))
 	}
-	if plan != "limits" {
+	if plan == "limits" {
+		r.Notes = append(r.Notes, b.use(ledger, journals)...)
+	} else {
 		r.Targets = b.targets(ledger, faults)
 	}
 
 	return r, nil
 }
 
+// use describes, for each deployment, the connections that its catalogue's targets accepted from instances and the slots in use.
+func (b *bench) use(ledger *load.Ledger, journals []target.Journal) (notes []string) {
+	first := 0
+	for _, deployment := range slices.Sorted(maps.Keys(b.services)) {
+		replicas := b.services[deployment]["catalogue"].Replicas
+		end := first + len(replicas)
+		connections, open := 0, 0
+		for i, replica := range replicas {
+			n := journals[first+i].Connections - b.control.Calls(replica.Address)
+			connections += n
+			open = max(open, journals[first+i].MostOpen)
+		}
+		notes = append(notes, fmt.Sprintf("%s: connections accepted by a target from the start: mean %.1f; most open at a time, with one of the bench: %d",
+			deployment, float64(connections)/float64(max(len(replicas), 1)), open))
+		for _, phase := range []string{slow, full} {
+			c := b.cells[key{phase, "catalogue", deployment}]
+			if c == nil {
+				continue
+			}
+			mean, peak := 0.0, 0
+			for _, s := range c.spans {
+				u := ledger.Use(s.from, s.to, first, end)
+				mean += u.Mean / float64(len(c.spans))
+				peak = max(peak, u.Peak)
+			}
+			notes = append(notes, fmt.Sprintf("%s, %s: slots in use at a target: mean %.2f, peak %d", deployment, phase, mean, peak))
+		}
+		first = end
+	}
+
+	return notes
+}
+
 func row(k key, c *cell, f load.Faults) report.Row {
 	sent := c.counters.Sent(k.class)
 
--- a/cmd/bench/plan.go
+++ b/cmd/bench/plan.go
@@ -21,6 +21,7 @@
 	versions   = "version change"
 	slow       = "slow targets"
 	overload   = "2x overload"
+	full       = "at capacity"
 )
 
 const (
@@ -83,7 +84,7 @@
 	"limits": {
 		{rounds: 4, phases: []phase{
 			{name: slow, slice: 1500 * time.Millisecond, capacity: spareLoad, faults: slowAll},
-			{name: overload, slice: 1500 * time.Millisecond, capacity: 1, faults: slowAll},
+			{name: full, slice: 1500 * time.Millisecond, capacity: 1, faults: slowAll},
 		}},
 	},
 }
--- a/internal/bench/load/audit.go
+++ b/internal/bench/load/audit.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/standin/target"
@@ -68,6 +70,41 @@
 	return sum / time.Duration(max(n, 1)), n
 }
 
+// Use is how a range of targets was used within a time span.
+type Use struct {
+	// Mean is the number of queries that ran at a time at each target, over the span, and Peak the largest one at any target.
+	Mean float64
+	Peak int
+}
+
+// Use returns the use of the targets from first up to the one before end.
+func (l *Ledger) Use(from, to time.Time, first, end int) (u Use) {
+	type change struct {
+		at   time.Time
+		step int
+	}
+	changes := make(map[int][]change)
+	var busy time.Duration
+	for _, s := range l.services {
+		if s.target < first || s.target >= end || s.started.Before(from) || !s.started.Before(to) {
+			continue
+		}
+		busy += s.took
+		changes[s.target] = append(changes[s.target], change{s.started, 1}, change{s.started.Add(s.took), -1})
+	}
+	for _, c := range changes {
+		slices.SortFunc(c, func(a, b change) int { return cmp.Or(a.at.Compare(b.at), a.step-b.step) })
+		running := 0
+		for _, step := range c {
+			running += step.step
+			u.Peak = max(u.Peak, running)
+		}
+	}
+	u.Mean = float64(busy) / float64(to.Sub(from)) / float64(max(end-first, 1))
+
+	return u
+}
+
 // Faults counts what callers were told wrongly.
 type Faults struct {
 	// Doubled counts non-idempotent requests that ran more than once.
--- a/internal/bench/load/target.go
+++ b/internal/bench/load/target.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -30,11 +31,22 @@
 type Control struct {
 	timers *timer.Service
 	client *http.Client
+
+	mutex sync.Mutex
+	calls map[netip.AddrPort]int // bounded by the targets and instances of the run
 }
 
 // NewControl returns a Control.
 func NewControl(timers *timer.Service) *Control {
-	return &Control{timers: timers, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Control{timers: timers, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, calls: make(map[netip.AddrPort]int)}
+}
+
+// Calls returns the number of calls to an address, each of which took a connection.
+func (c *Control) Calls(address netip.AddrPort) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.calls[address]
 }
 
 // SetFaults replaces the faults of the given targets.
@@ -80,6 +92,9 @@
 }
 
 func (c *Control) call(ctx context.Context, method string, address netip.AddrPort, path string, body []byte) ([]byte, error) {
+	c.mutex.Lock()
+	c.calls[address]++
+	c.mutex.Unlock()
 	ctx, cancel := c.timers.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, bytes.NewReader(body))
--- a/internal/bench/report/report.go
+++ b/internal/bench/report/report.go
@@ -81,7 +81,9 @@
 			100*row.Whole, row.Coverage, 100*row.ExtraLoad, 100*row.Shed, row.Worth, row.Doubled, refusals(row))
 	}
 	fmt.Fprintln(&text)
-	fmt.Fprintln(&text, "target\tpolicy\tvalue\tbound\tresult")
+	if len(r.Targets) > 0 {
+		fmt.Fprintln(&text, "target\tpolicy\tvalue\tbound\tresult")
+	}
 	for _, t := range r.Targets {
 		sign, result := "<=", "missed"
 		if t.AtLeast {
--- a/internal/standin/target/journal.go
+++ b/internal/standin/target/journal.go
@@ -27,8 +27,10 @@
 	// Connections counts accepted connections, Received the queries that were read whole, and Silenced the reads that a
 	// silent connection discarded.
 	Connections int
-	Received    int
-	Silenced    int
+	// MostOpen is the largest number of connections that were open at a time.
+	MostOpen int
+	Received int
+	Silenced int
 	// Dropped counts the entries that the bound pushed out.
 	Dropped int
 	Entries []Entry
@@ -40,6 +42,7 @@
 type journal struct {
 	bound       int
 	connections int
+	mostOpen    int
 	received    int
 	silenced    int
 	dropped     int
@@ -54,6 +57,7 @@
 	copied := Journal{
 		Incarnation: t.incarnation,
 		Connections: t.journal.connections,
+		MostOpen:    t.journal.mostOpen,
 		Received:    t.journal.received,
 		Silenced:    t.journal.silenced,
 		Dropped:     t.journal.dropped,
--- a/internal/standin/target/listener.go
+++ b/internal/standin/target/listener.go
@@ -111,6 +111,7 @@
 	c := &conn{Conn: inner, target: t, over: t.connections > 0 && len(t.conns) >= t.connections}
 	t.conns[c] = struct{}{}
 	t.journal.connections++
+	t.journal.mostOpen = max(t.journal.mostOpen, len(t.conns))
 
 	return c
 }
