--- a/internal/standin/target/journal.go
+++ b/internal/standin/target/journal.go
@@ -27,20 +27,27 @@
 	// Connections counts accepted connections, Received the queries that were read whole, and Silenced the reads that a
 	// silent connection discarded.
 	Connections int
-	Received    int
-	Silenced    int
+	// MostOpen is the largest number of connections that were open at a time.
+	MostOpen int
+	Received int
+	Silenced int
 	// Dropped counts the entries that the bound pushed out.
 	Dropped int
 	Entries []Entry
+	// Arrived lists the RequestIDs of non-idempotent queries that were read whole, whether they ran or not. It has the bound
+	// of Entries, and entries beyond it are left out.
+	Arrived []string `json:",omitempty"`
 }
 
 type journal struct {
 	bound       int
 	connections int
+	mostOpen    int
 	received    int
 	silenced    int
 	dropped     int
 	entries     []*Entry
+	arrived     []string
 }
 
 // Journal returns a copy of the journal.
@@ -50,10 +57,12 @@
 	copied := Journal{
 		Incarnation: t.incarnation,
 		Connections: t.journal.connections,
+		MostOpen:    t.journal.mostOpen,
 		Received:    t.journal.received,
 		Silenced:    t.journal.silenced,
 		Dropped:     t.journal.dropped,
 		Entries:     make([]Entry, 0, len(t.journal.entries)),
+		Arrived:     slices.Clone(t.journal.arrived),
 	}
 	for _, e := range t.journal.entries {
 		copied.Entries = append(copied.Entries, *e)
