Add make bench-control for the control plane of live instances

Cause: nothing measured how fast a change comes into force, or what the control plane costs for each instance as the fleet grows.

Change: cmd/benchcontrol live runs 2 to 32 whole entry instances in 3 availability zones over loopback against the stand-in platform. It prints a table, one JSON line, and targets as met or missed. A missed target does not fail the run.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build test lint format tools clean demo
+.PHONY: build test lint format tools clean demo bench-control
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -16,6 +16,10 @@
 demo: build
 	scripts/demo
 
+# Measures the control plane of live instances over loopback, in under 3 minutes.
+bench-control: build
+	$(BIN)/benchcontrol live
+
 tools: $(LINT)
 
 $(LINT):
--- /dev/null
+++ b/cmd/benchcontrol/main.go
@@ -0,0 +1,104 @@
+// Command benchcontrol benchmarks the control plane: live instances over loopback, and simulated large fleets.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickorynotch/hickorynotch/internal/bench/control"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&liveCommand{}, "")
+
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
+
+// sizes is a flag with a comma-separated list of fleet sizes.
+type sizes []int
+
+// String implements flag.Value.
+func (s *sizes) String() string {
+	return strings.Trim(strings.Join(strings.Fields(fmt.Sprint(*s)), ","), "[]")
+}
+
+// Set implements flag.Value.
+func (s *sizes) Set(text string) error {
+	*s = nil
+	for part := range strings.SplitSeq(text, ",") {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 1 {
+			return fmt.Errorf("%q is not a number of instances", part)
+		}
+		*s = append(*s, n)
+	}
+
+	return nil
+}
+
+type liveCommand struct {
+	options control.LiveOptions
+	timeout time.Duration
+}
+
+func (*liveCommand) Name() string     { return "live" }
+func (*liveCommand) Synopsis() string { return "run instances over loopback sockets" }
+func (*liveCommand) Usage() string {
+	return "live [-sizes 2,4,8,16,32] [-applies 30] [-seed 1] [-timeout 170s]:\n" +
+		"  Run instances over loopback sockets against the stand-in platform.\n" +
+		"  Exit status 1 means that a measurement failed, not that a target was missed.\n"
+}
+
+func (c *liveCommand) SetFlags(flags *flag.FlagSet) {
+	c.options.Sizes = []int{2, 4, 8, 16, 32}
+	flags.Var((*sizes)(&c.options.Sizes), "sizes", "numbers of instances")
+	flags.IntVar(&c.options.Applies, "applies", 30, "changes for each size and state of the store")
+	flags.Uint64Var(&c.options.Seed, "seed", 1, "seed of all random choices")
+	flags.DurationVar(&c.timeout, "timeout", 170*time.Second, "longest time for the whole run")
+}
+
+func (c *liveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	report, err := control.Live(ctx, c.options)
+
+	return finish(&report, err)
+}
+
+// report is a result that prints itself for people and encodes for programs.
+type report interface {
+	Print(w io.Writer)
+}
+
+// finish prints what was measured, also when a part failed.
+func finish(r report, err error) subcommands.ExitStatus {
+	r.Print(os.Stdout)
+	line, encoding := json.Marshal(r)
+	if encoding == nil {
+		fmt.Printf("\n%s\n", line)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+
+		return subcommands.ExitFailure
+	}
+
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/bench/control/fleet.go
@@ -0,0 +1,264 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/entry"
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	standin "github.com/hickorynotch/hickorynotch/internal/standin/platform"
+	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
+)
+
+var liveZones = []zone.Zone{"Kochi", "Thrissur", "Kozhikode"}
+
+// traffic counts the bytes that one side of connections wrote and read.
+type traffic struct {
+	written, read atomic.Uint64
+}
+
+// countedConn adds its bytes to the traffic of both ends.
+type countedConn struct {
+	net.Conn
+	near, far *traffic
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.near.written.Add(uint64(n))
+	c.far.read.Add(uint64(n))
+
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.near.read.Add(uint64(n))
+	c.far.written.Add(uint64(n))
+
+	return n, err
+}
+
+// countedListener counts the bytes of all accepted connections.
+type countedListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+// Accept implements net.Listener.
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	return &countedConn{Conn: conn, near: l.traffic, far: new(traffic)}, nil
+}
+
+// adoption is the log of an instance. It records when a revision came into force, which polling would see late.
+type adoption struct {
+	mu       sync.Mutex
+	revision uint64
+	at       time.Time
+	changed  func()
+}
+
+// Write implements io.Writer for the lines of package event.
+func (a *adoption) Write(line []byte) (int, error) {
+	text := string(line)
+	if !strings.Contains(text, "Name="+event.ConfigurationAdopted.Name+" ") {
+		return len(line), nil
+	}
+	_, after, _ := strings.Cut(text, " Revision=")
+	digits, _, _ := strings.Cut(after, " ")
+	revision, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return len(line), fmt.Errorf("line %q: %w", text, err)
+	}
+	a.mu.Lock()
+	a.revision, a.at = revision, time.Now()
+	a.mu.Unlock()
+	a.changed()
+
+	return len(line), nil
+}
+
+func (a *adoption) since() (revision uint64, at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.revision, a.at
+}
+
+type liveInstance struct {
+	entry   *entry.Entry
+	adopted adoption
+	peers   traffic
+	ended   chan error
+}
+
+// liveFleet is a stand-in platform and entry instances in this process, on loopback.
+type liveFleet struct {
+	platform  *standin.Platform
+	address   netip.AddrPort
+	store     traffic
+	instances []*liveInstance
+	byPeer    map[netip.AddrPort]*liveInstance
+	wake      chan struct{}
+	stop      context.CancelFunc
+}
+
+// startLive starts a fleet. It has no configuration yet.
+func startLive(ctx context.Context, size int, seed uint64) (f *liveFleet, err error) {
+	ctx, stop := context.WithCancel(ctx)
+	f = &liveFleet{
+		platform: standin.New(standin.WithListLag(0)),
+		byPeer:   make(map[netip.AddrPort]*liveInstance),
+		wake:     make(chan struct{}, 1),
+		stop:     stop,
+	}
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		stop()
+
+		return nil, err
+	}
+	f.address = netip.MustParseAddrPort(listener.Addr().String())
+	// The end of the stand-in is seen by the instances' calls.
+	go func() { _ = f.platform.Serve(ctx, countedListener{Listener: listener, traffic: &f.store}) }()
+	for i := range size {
+		if err := f.add(i, seed); err != nil {
+			f.close()
+
+			return nil, err
+		}
+	}
+	for _, i := range f.instances {
+		go func() { i.ended <- i.entry.Run(ctx) }()
+	}
+
+	return f, nil
+}
+
+func (f *liveFleet) add(number int, seed uint64) error {
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	settings := entry.Settings{
+		Name:             fmt.Sprintf("i%02d", number),
+		AvailabilityZone: liveZones[number%len(liveZones)],
+		Caller:           local, Peer: local, Operator: local, Platform: f.address,
+		Limit: entry.LimitOwner, Running: 16, StopTimeout: time.Second,
+	}
+	if number > 0 {
+		settings.Seeds = []netip.AddrPort{f.instances[0].entry.Addresses().Peer}
+	}
+	i := &liveInstance{ended: make(chan error, 1)}
+	i.adopted.changed = func() {
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+	}
+	var err error
+	i.entry, err = entry.New(settings, entry.WithSeed(seed+uint64(number)), entry.WithLog(event.New(&i.adopted, time.Now)),
+		entry.WithDialer(func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, "tcp", address.String())
+			if err != nil {
+				return nil, err
+			}
+			other := new(traffic)
+			if known := f.byPeer[address]; known != nil {
+				other = &known.peers
+			}
+
+			return &countedConn{Conn: conn, near: &i.peers, far: other}, nil
+		}))
+	if err != nil {
+		return err
+	}
+	f.instances = append(f.instances, i)
+	f.byPeer[i.entry.Addresses().Peer] = i
+
+	return f.platform.UpdateList(standin.Update{Entries: []platform.Listed{{
+		Name: settings.Name, Kind: platform.EntryInstance, Address: i.entry.Addresses().Peer,
+		AvailabilityZone: settings.AvailabilityZone, State: platform.Live,
+	}}})
+}
+
+// close stops all instances and waits for them.
+func (f *liveFleet) close() {
+	f.stop()
+	for _, i := range f.instances {
+		select {
+		case err := <-i.ended:
+			if err != nil {
+				fmt.Fprintln(os.Stderr, err)
+			}
+		case <-time.After(5 * time.Second):
+		}
+	}
+}
+
+// settle waits until each instance is ready and knows all others.
+func (f *liveFleet) settle(ctx context.Context) error {
+	ticks := timer.New().Subscribe(100 * time.Millisecond)
+	defer ticks.Stop()
+	for {
+		settled := true
+		for _, i := range f.instances {
+			status := i.entry.Status()
+			settled = settled && status.Ready && len(status.Members) == len(f.instances)
+		}
+		if settled {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d instances did not find each other: %w", len(f.instances), ctx.Err())
+		case <-ticks.C:
+		}
+	}
+}
+
+// inForce waits until the revision is in force at every instance and returns the time of the last one.
+func (f *liveFleet) inForce(ctx context.Context, revision uint64) (last time.Time, err error) {
+	for {
+		missing := 0
+		for _, i := range f.instances {
+			have, at := i.adopted.since()
+			if have < revision {
+				missing++
+			} else if at.After(last) {
+				last = at
+			}
+		}
+		if missing == 0 {
+			return last, nil
+		}
+		select {
+		case <-ctx.Done():
+			return last, fmt.Errorf("revision %d is not in force at %d of %d instances: %w", revision, missing, len(f.instances), ctx.Err())
+		case <-f.wake:
+		}
+	}
+}
+
+// peerBytes returns the bytes that all instances sent to peers. Each is received by another instance.
+func (f *liveFleet) peerBytes() (sent uint64) {
+	for _, i := range f.instances {
+		sent += i.peers.written.Load()
+	}
+
+	return sent
+}
