--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build test lint format tools clean demo bench bench-short bench-limits
+.PHONY: build test lint format tools clean demo prove processes
+.PHONY: bench bench-short bench-limits bench-control
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -26,6 +27,10 @@
 bench-limits: build
 	scripts/bench limits
 
+# Measures the control plane of live instances over loopback, in under 3 minutes.
+bench-control: build
+	$(BIN)/benchcontrol live
+
 tools: $(LINT)
 
 $(LINT):
