--- /dev/null
+++ b/internal/proof/fleet/fleet_test.go
@@ -0,0 +1,533 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
+	"github.com/hickorynotch/hickorynotch/internal/fleet/membership"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	standin "github.com/hickorynotch/hickorynotch/internal/standin/platform"
+	"github.com/hickorynotch/hickorynotch/internal/wire/peer"
+	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+	"github.com/hickorynotch/hickorynotch/internal/world/instance"
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
+)
+
+var (
+	zones   = []zone.Zone{"Kochi", "Thrissur", "Kozhikode"}
+	errLost = errors.New("no answer")
+)
+
+const (
+	// tick is the virtual time of one step of the simulation.
+	tick = membership.Step
+	// settle is the virtual time that the real work between two steps may hold up a step. It is no deadline of the product:
+	// a late reply is one more delay that the simulated clocks show the instances.
+	settle = 2 * time.Millisecond
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proof of the fleet")
+}
+
+// seed is that of all random choices.
+func seed() uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("PROOF_SEED"), 10, 64); err == nil {
+		return n
+	}
+
+	return 20261204
+}
+
+// node is one simulated process.
+type node struct {
+	fleet   *fleet
+	self    instance.Instance
+	clock   *clockwork.FakeClock
+	members *membership.Membership
+	keeper  *configuration.Keeper
+	spread  *configuration.Spread
+	watcher *configuration.Watcher
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mu      sync.Mutex
+	dead    bool
+	cut     bool // from all peers
+	froze   chan struct{}
+	thaw    chan struct{} // nil unless frozen
+	missed  time.Duration
+	inForce []configuration.Applied
+}
+
+// fleet is a set of instances with in-memory calls, each on its own fake clock, and the platform's stand-in.
+type fleet struct {
+	platform *standin.Platform
+	address  netip.AddrPort
+	clock    *clockwork.FakeClock // of the platform and the operators
+	timers   *timer.Service
+	ctx      context.Context
+	running  sync.WaitGroup
+	busy     atomic.Int64
+	applying atomic.Int64
+
+	// silent switches off the spread by peers, and rewrite may change what an instance is offered.
+	silent  bool
+	rewrite func(n *node, raw []byte) []byte
+
+	mu    sync.Mutex
+	nodes []*node
+	apart func(a, b *node) bool
+	hook  func(step string, n *node)
+	// settled is what operators were told of each ApplyID; nil means accepted.
+	settled map[string]error
+	stored  configuration.Record
+}
+
+func newFleet(size int) *fleet {
+	f := &fleet{
+		clock:   clockwork.NewFakeClock(),
+		apart:   func(*node, *node) bool { return false },
+		rewrite: func(_ *node, raw []byte) []byte { return raw },
+		settled: map[string]error{},
+	}
+	f.timers = timer.New(timer.WithClock(f.clock))
+	f.platform = standin.New(standin.WithTimers(f.timers))
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	f.address = netip.MustParseAddrPort(listener.Addr().String())
+	var stop context.CancelFunc
+	f.ctx, stop = context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- f.platform.Serve(f.ctx, listener) }()
+	for i := range size {
+		f.start(i, 1)
+	}
+	DeferCleanup(func() {
+		for _, n := range f.all() {
+			n.kill()
+		}
+		stop()
+		Expect(<-served).To(Succeed())
+		f.running.Wait()
+	})
+
+	return f
+}
+
+// start begins a process under the name of index i.
+func (f *fleet) start(i int, incarnation uint64) *node {
+	n := &node{
+		fleet: f,
+		clock: clockwork.NewFakeClockAt(f.clock.Now()),
+		froze: make(chan struct{}),
+		self: instance.Instance{
+			Name: fmt.Sprintf("i%02d", i), AvailabilityZone: zones[i%len(zones)], Incarnation: incarnation,
+			Peer: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000),
+		},
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	timers := timer.New(timer.WithClock(n.clock))
+	client := platform.NewClient(f.address, timers, platform.WithZone(n.self.AvailabilityZone))
+	n.keeper = configuration.NewKeeper(n.self.AvailabilityZone, n.merge, configuration.WithOnAdopt(n.adopted))
+	n.members = membership.New(n.self, timers, membership.Calls{
+		Ping: func(ctx context.Context, to netip.AddrPort, g peer.Gossip) (peer.Gossip, error) {
+			return call(ctx, n, to, func(o *node) (peer.Gossip, error) { return o.members.HandlePing(ctx, peer.Sender{}, g) })
+		},
+		PingRequest: func(ctx context.Context, to netip.AddrPort, i instance.Instance, g peer.Gossip) (peer.Gossip, error) {
+			return call(ctx, n, to, func(o *node) (peer.Gossip, error) {
+				return o.members.HandlePingRequest(ctx, peer.Sender{}, i, g)
+			})
+		},
+		Sync: func(ctx context.Context, to netip.AddrPort, t peer.Table) (peer.Table, error) {
+			return call(ctx, n, to, func(o *node) (peer.Table, error) { return o.members.HandleSync(ctx, peer.Sender{}, t) })
+		},
+	},
+		membership.WithSeed(seed()),
+		membership.WithSeeds(netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.2:7000")),
+		membership.WithSeedList(func(ctx context.Context) (peers []netip.AddrPort, err error) {
+			listed, err := client.List(ctx)
+			for _, l := range listed {
+				peers = append(peers, l.Address)
+			}
+
+			return peers, err
+		}),
+		membership.WithRevision(n.keeper.Revision, func(from instance.Instance, revision uint64) { n.spread.Behind(from, revision) }))
+	n.spread = configuration.NewSpread(n.self, n.keeper, timers, configuration.PeerCalls{
+		Push: func(ctx context.Context, to netip.AddrPort, raw []byte) error {
+			n.at("passing on", raw)
+			_, err := call(ctx, n, to, func(o *node) (any, error) {
+				if f.silent {
+					return nil, errLost
+				}
+
+				return nil, o.spread.HandlePush(ctx, peer.Sender{Name: n.self.Name}, f.rewrite(o, raw))
+			})
+
+			return err
+		},
+		Configuration: func(ctx context.Context, to netip.AddrPort, have uint64) ([]byte, error) {
+			n.starts()
+			raw, err := call(ctx, n, to, func(o *node) ([]byte, error) {
+				if f.silent {
+					return nil, errLost
+				}
+
+				return o.spread.HandleConfiguration(ctx, peer.Sender{Name: n.self.Name}, have)
+			})
+
+			return f.rewrite(n, raw), err
+		},
+	}, n.members.Live, seed())
+	n.watcher = configuration.NewWatcher(n.self, n.spread, configuration.StoreCalls{
+		Read: func(ctx context.Context, key string) (platform.Entry, error) {
+			n.starts()
+			f.busy.Add(1)
+			entry, err := client.Read(ctx, key)
+			f.busy.Add(-1)
+
+			return n.received(entry, err)
+		},
+		Watch: func(ctx context.Context, key string, after uint64) (platform.Entry, error) {
+			return n.received(client.Watch(ctx, key, after))
+		},
+	}, seed(), nil)
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	f.list(standin.Update{Entries: []platform.Listed{{
+		Name: n.self.Name, Kind: platform.EntryInstance, Address: n.self.Peer,
+		AvailabilityZone: n.self.AvailabilityZone, State: platform.Live,
+	}}})
+	for _, run := range []func(context.Context) error{n.members.Run, n.spread.Run, n.watcher.Run} {
+		f.running.Go(func() { _ = run(n.ctx) })
+	}
+	context.AfterFunc(n.ctx, client.Close)
+
+	return n
+}
+
+// list changes the platform's list.
+func (f *fleet) list(update standin.Update) {
+	defer GinkgoRecover()
+	Expect(f.platform.UpdateList(update)).To(Succeed())
+}
+
+// received takes a reply of the store, unless the process died while it waited.
+func (n *node) received(entry platform.Entry, err error) (platform.Entry, error) {
+	if len(entry.Value) > 0 {
+		n.at("watch", entry.Value)
+	}
+	if n.wait() != nil {
+		return platform.Entry{}, errLost
+	}
+	entry.Value = n.fleet.rewrite(n, entry.Value)
+
+	return entry, err
+}
+
+// merge is the step in which a record is taken into force.
+func (n *node) merge(base, _ json.RawMessage) (contract.Configuration, error) {
+	n.at("taking into force", base)
+
+	return contract.Configuration{}, n.wait()
+}
+
+func (n *node) adopted(a configuration.Active) {
+	n.mu.Lock()
+	n.inForce = append(n.inForce, a.Applied)
+	n.mu.Unlock()
+	n.spread.Adopted(a)
+}
+
+// starts is called before each question of an instance; those without a configuration are starting.
+func (n *node) starts() {
+	if !n.keeper.Ready() {
+		n.at("start of an instance", nil)
+	}
+	_ = n.wait()
+}
+
+// at tells the hook of a step, if it concerns the change under proof.
+func (n *node) at(step string, raw []byte) {
+	n.fleet.mu.Lock()
+	hook := n.fleet.hook
+	n.fleet.mu.Unlock()
+	if hook != nil && (raw == nil || baseOf(raw) == `"two"`) {
+		hook(step, n)
+	}
+}
+
+func baseOf(raw []byte) string {
+	if record, err := configuration.Decode(raw); err == nil {
+		return string(record.Base)
+	}
+
+	return string(raw)
+}
+
+// wait returns when the process runs, with an error if it died.
+func (n *node) wait() error {
+	n.mu.Lock()
+	thaw := n.thaw
+	n.mu.Unlock()
+	if thaw != nil {
+		select {
+		case <-thaw:
+		case <-n.ctx.Done():
+		}
+	}
+
+	return n.ctx.Err()
+}
+
+func (n *node) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.dead {
+		n.dead = true
+		n.cancel()
+		if n.thaw == nil {
+			close(n.froze)
+		}
+	}
+}
+
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.dead && n.thaw == nil {
+		n.thaw = make(chan struct{})
+		close(n.froze)
+	}
+}
+
+// resume lets a frozen process go on and shows it the time that it missed as one gap.
+func (n *node) resume() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.dead || n.thaw == nil {
+		return
+	}
+	n.clock.Advance(n.missed)
+	close(n.thaw)
+	n.thaw, n.froze, n.missed = nil, make(chan struct{}), 0
+}
+
+// state returns whether the process lives, whether it runs, and a channel that is closed when it stops to run.
+func (n *node) state() (alive, runs bool, froze <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return !n.dead, !n.dead && n.thaw == nil, n.froze
+}
+
+func (n *node) reachable() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return !n.dead && n.thaw == nil && !n.cut
+}
+
+// call carries one call to the process at an address. The caller gives up when the process stops to run.
+func call[T any](ctx context.Context, n *node, to netip.AddrPort, do func(*node) (T, error)) (none T, err error) {
+	if n.wait() != nil {
+		return none, errLost
+	}
+	f := n.fleet
+	var other *node
+	for _, o := range f.all() {
+		if alive, _, _ := o.state(); alive && o.self.Peer == to {
+			other = o
+		}
+	}
+	if other == nil || !f.reach(n, other) {
+		return none, errLost
+	}
+	type result struct {
+		value T
+		err   error
+	}
+	_, _, froze := other.state()
+	done := make(chan result, 1)
+	f.busy.Add(1)
+	f.running.Go(func() {
+		value, err := do(other)
+		done <- result{value, err}
+	})
+	defer f.busy.Add(-1)
+	select {
+	case r := <-done:
+		if n.wait() != nil || !f.reach(other, n) {
+			return none, errLost
+		}
+
+		return r.value, r.err
+	case <-froze:
+	case <-ctx.Done():
+	}
+
+	return none, errLost
+}
+
+// reach reports whether both processes run and a message gets from one to the other.
+func (f *fleet) reach(a, b *node) bool {
+	f.mu.Lock()
+	apart := f.apart
+	f.mu.Unlock()
+
+	return a.reachable() && b.reachable() && !apart(a, b)
+}
+
+func (f *fleet) all() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return slices.Clone(f.nodes)
+}
+
+// step lets a short time pass for all processes that run.
+func (f *fleet) step() {
+	f.clock.Advance(tick)
+	for _, n := range f.all() {
+		n.mu.Lock()
+		if n.thaw != nil {
+			n.missed += tick
+		} else if !n.dead {
+			n.clock.Advance(tick)
+		}
+		n.mu.Unlock()
+	}
+	time.Sleep(100 * time.Microsecond)
+	for end := time.Now().Add(settle); f.busy.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(50 * time.Microsecond)
+	}
+}
+
+// pass lets virtual time pass until done, at most for d.
+func (f *fleet) pass(d time.Duration, done func() bool) bool {
+	for ; d > 0; d -= tick {
+		if done() {
+			return true
+		}
+		f.step()
+	}
+
+	return done()
+}
+
+// apply makes an operator apply base, again and again under the same ApplyID until the outcome is known.
+func (f *fleet) apply(id, base string) {
+	f.applying.Add(1)
+	f.running.Go(func() {
+		defer f.applying.Add(-1)
+		client := platform.NewClient(f.address, f.timers)
+		defer client.Close()
+		applier := configuration.NewApplier(f.timers, configuration.WithApplierStore(client))
+		applier.CompareAndSwap = func(
+			ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID,
+		) (uint64, error) {
+			operator := &node{fleet: f}
+			operator.at("apply before the write", value)
+			version, err := client.CompareAndSwap(ctx, key, value, expected, lease)
+			operator.at("apply after the write", value)
+
+			return version, err
+		}
+		for {
+			_, err := applier.Apply(f.ctx, configuration.Change{ApplyID: id, Operator: id, Base: json.RawMessage(base)})
+			var race *configuration.RaceError
+			if err == nil || errors.As(err, &race) {
+				f.mu.Lock()
+				f.settled[id] = err
+				f.mu.Unlock()
+
+				return
+			}
+			select {
+			case <-f.timers.After(time.Second):
+			case <-f.ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+func (f *fleet) settledAll() bool { return f.applying.Load() == 0 }
+
+// read brings the accepted record to the judge.
+func (f *fleet) read() {
+	client := platform.NewClient(f.address, timer.New())
+	defer client.Close()
+	entry, err := client.Read(context.Background(), configuration.Key)
+	Expect(err).NotTo(HaveOccurred())
+	f.stored, err = configuration.Decode(entry.Value)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// agree reports whether all running instances have the revision in force.
+func (f *fleet) agree(revision uint64) bool {
+	return !slices.ContainsFunc(f.all(), func(n *node) bool {
+		_, runs, _ := n.state()
+
+		return runs && n.keeper.Revision() != revision
+	})
+}
+
+// judge returns what contradicts guarantee 6. accepted is the record in the store once every apply is settled. complete
+// says that every fault has ended, so that every running instance must have it in force.
+func (f *fleet) judge(accepted configuration.Record, complete bool) (wrong []string) {
+	revisions := map[string]uint64{}
+	for _, a := range append([]configuration.Applied{accepted.Applied}, accepted.History...) {
+		revisions[a.ApplyID] = a.Revision
+	}
+	f.mu.Lock()
+	for id, err := range f.settled {
+		if _, stored := revisions[id]; stored != (err == nil) {
+			wrong = append(wrong, fmt.Sprintf("operator %s was told %v, stored is %v", id, err, stored))
+		}
+	}
+	f.mu.Unlock()
+	for _, n := range f.all() {
+		n.mu.Lock()
+		var last uint64
+		for _, a := range n.inForce {
+			// The identity of a record is its ApplyID. Its own revision is what an instance claims.
+			revision, ok := revisions[a.ApplyID]
+			if !ok {
+				wrong = append(wrong, fmt.Sprintf("%s has %s in force, which was never accepted", n.self.Name, a.ApplyID))
+			}
+			if revision < last {
+				wrong = append(wrong, fmt.Sprintf("%s went from revision %d back to %d", n.self.Name, last, revision))
+			}
+			last = revision
+		}
+		runs := !n.dead && n.thaw == nil
+		n.mu.Unlock()
+		if complete && runs && last != accepted.Revision {
+			wrong = append(wrong, fmt.Sprintf("%s has revision %d in force, accepted is %d", n.self.Name, last, accepted.Revision))
+		}
+	}
+
+	return wrong
+}
