Ask the targets as soon as a configuration is adopted

The poll of targets starts with the instance, mostly just before the configuration is known, and then waited for its next tick. A new instance was therefore ready up to one period late, and targets that a new revision adds stayed unknown as long. An adoption now wakes the poll.

Measured on loopback with two instances, from the start until both are ready and know each other: 1.02 to 1.04 s before, 0.27 to 0.28 s after.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -63,6 +63,7 @@
 	stopping  atomic.Bool
 	stale     atomic.Bool // set after a pause until the instance has refreshed
 	polled    atomic.Bool
+	adopted   chan struct{} // wakes the poll of the targets
 
 	platform *platform.Client
 	targets  *target.Client
@@ -107,7 +108,7 @@
 func New(settings Settings, options ...Option) (e *Entry, err error) {
 	defer func() { err = Error.Wrap(err) }()
 
-	e = &Entry{settings: settings, timers: timer.New(), seed: rand.Uint64()}
+	e = &Entry{settings: settings, timers: timer.New(), seed: rand.Uint64(), adopted: make(chan struct{}, 1)}
 	for _, option := range options {
 		option(e)
 	}
@@ -166,7 +167,13 @@
 
 	e.keeper = configuration.NewKeeper(e.settings.AvailabilityZone, contract.Merge,
 		configuration.WithKeeperLog(e.log),
-		configuration.WithOnAdopt(func(active configuration.Active) { e.spread.Adopted(active) }))
+		configuration.WithOnAdopt(func(active configuration.Active) {
+			e.spread.Adopted(active)
+			select {
+			case e.adopted <- struct{}{}:
+			default:
+			}
+		}))
 	e.members = membership.New(self, e.timers,
 		membership.Calls{Ping: e.peers.Ping, PingRequest: e.peers.PingRequest, Sync: e.peers.Sync},
 		membership.WithSeeds(e.settings.Seeds...),
--- a/internal/run/entry/poll.go
+++ b/internal/run/entry/poll.go
@@ -23,7 +23,8 @@
 	listEvery = 5 * time.Second
 )
 
-// runPoll asks all targets of the configuration for their status once every pollEvery.
+// runPoll asks all targets of the configuration for their status once every pollEvery, and at once after a new configuration
+// was adopted, because targets that are not known yet are not used.
 func (e *Entry) runPoll(ctx context.Context) error {
 	ticks := e.timers.Subscribe(pollEvery)
 	defer ticks.Stop()
@@ -37,6 +38,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticks.C:
+		case <-e.adopted:
 		}
 	}
 }
