Let tests switch faults on at a step of a request

The fault matrix needs to begin a fault while a request is at a given step. The stand-in target calls a hook when a connection is accepted, when a query is partly read, runs, and is partly replied, and then goes on under the faults in force. The platform's stand-in can lapse leases early. An option of an entry instance gives access to the function fields of its engine.

The stand-in target answered a query whose holdings were replaced while it ran with no hits, because its keys were gone; it now answers it from the shard for which it was admitted.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -58,6 +58,7 @@
 	log      *event.Log
 	metrics  *metric.Set
 	seed     uint64
+	adjust   func(*fanout.Engine)
 
 	listeners listeners
 	stopping  atomic.Bool
@@ -104,6 +105,11 @@
 	return func(e *Entry) { e.settings.dial = dial }
 }
 
+// WithEngine calls adjust with the assembled engine, so that a test can wrap its function fields before the first request.
+func WithEngine(adjust func(*fanout.Engine)) Option {
+	return func(e *Entry) { e.adjust = adjust }
+}
+
 // New checks settings, opens the three listeners and assembles the parts.
 func New(settings Settings, options ...Option) (e *Entry, err error) {
 	defer func() { err = Error.Wrap(err) }()
@@ -230,6 +236,9 @@
 		Log:        e.log,
 		ReturnPath: e.settings.ReturnPath,
 	}
+	if e.adjust != nil {
+		e.adjust(e.engine)
+	}
 	e.callers = caller.NewHandler(e.answer, caller.WithReady(e.Ready))
 }
 
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -170,6 +170,15 @@
 	s.firstLapse = first
 }
 
+// LapseLeases lapses all leases before their time, as a store that lost them does.
+func (p *Platform) LapseLeases() {
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	for id := range p.store.leases {
+		p.store.drop(id)
+	}
+}
+
 func (s *store) drop(id wire.LeaseID) {
 	for key := range s.leases[id].keys {
 		delete(s.values, key)
--- a/internal/standin/target/listener.go
+++ b/internal/standin/target/listener.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
+
+	wire "github.com/hickorynotch/hickorynotch/internal/wire/target"
 )
 
 // listener accepts connections for a Target and can close and open its port again.
@@ -37,7 +39,12 @@
 		}
 		c, err := inner.Accept()
 		if err == nil {
-			return l.target.track(c), nil
+			tracked := l.target.track(c)
+			if l.target.hook != nil {
+				l.target.hook(Connected)
+			}
+
+			return tracked, nil
 		}
 		select {
 		case <-changed:
@@ -95,6 +102,9 @@
 	return old.Close()
 }
 
+// queryStart is what a query starts with on a connection.
+const queryStart = "POST " + wire.QueryPath
+
 // conn is an accepted connection that can go silent.
 type conn struct {
 	net.Conn
@@ -122,8 +132,14 @@
 			<-c.target.timers.After(c.target.connectTime)
 		}
 	})
+	if c.target.hook != nil {
+		b = b[:min(len(b), len(queryStart))]
+	}
 	for {
 		n, err := c.Conn.Read(b)
+		if c.target.hook != nil && string(b[:n]) == queryStart {
+			c.target.hook(PartlyRead)
+		}
 		if err != nil || !c.silent.Load() {
 			return n, err
 		}
@@ -163,8 +179,8 @@
 	_ = c.Close()
 }
 
-// closeConnections closes all connections, those that a fault took over from net/http included.
-func (t *Target) closeConnections() {
+// CloseConnections closes all connections, those that a fault took over from net/http included.
+func (t *Target) CloseConnections() {
 	t.mu.Lock()
 	open := make([]*conn, 0, len(t.conns))
 	for c := range t.conns {
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -24,10 +25,20 @@
 	return fmt.Sprintf("record-%06d", i)
 }
 
+// allKeys is computed once, since tests start many targets.
+var allKeys = sync.OnceValue(func() []string {
+	keys := make([]string, Records)
+	for i := range keys {
+		keys[i] = Key(i)
+	}
+
+	return keys
+})
+
 func keysOf(p part) []string {
 	var keys []string
-	for i := range Records {
-		if key := Key(i); wire.ShardOf(key, p.shards) == p.shard {
+	for _, key := range allKeys() {
+		if wire.ShardOf(key, p.shards) == p.shard {
 			keys = append(keys, key)
 		}
 	}
@@ -87,6 +98,10 @@
 	t.mu.Lock()
 	keys := t.keys[part{q.Shard, q.Shards}]
 	t.mu.Unlock()
+	if keys == nil {
+		// The holdings were replaced while q ran. It is answered from the shard for which it was admitted.
+		keys = keysOf(part{q.Shard, q.Shards})
+	}
 
 	return search(keys, q.Version, q.Text, q.Limit)
 }
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -72,7 +72,7 @@
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
-	defer t.closeConnections()
+	defer t.CloseConnections()
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(wrapped) }()
 	select {
@@ -144,7 +144,8 @@
 		t.refuse(w, &q, wire.TooLate, false, "the query was cancelled while it ran")
 		return
 	}
-	t.reply(w, r, &q, f, previous)
+	// Faults that begin while the query runs apply to its reply.
+	t.reply(w, r, &q, t.faults(), previous)
 }
 
 // receive counts q and returns the faults in force and the query before it.
@@ -228,6 +229,9 @@
 // run spends the service time of q in the slot and reports whether q finished before ctx ended.
 func (t *Target) run(ctx context.Context, q *wire.Query) (finished bool) {
 	end := t.begin(q)
+	if t.hook != nil {
+		t.hook(Running)
+	}
 	defer func() {
 		end(finished)
 		t.mu.Lock()
@@ -248,6 +252,10 @@
 
 // reply answers q as the faults demand.
 func (t *Target) reply(w http.ResponseWriter, r *http.Request, q *wire.Query, f Fault, previous wire.Query) {
+	if f.Freeze {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if f.ResetAfterRun {
 		abort(w)
 	}
@@ -283,11 +291,27 @@
 		panic(http.ErrAbortHandler)
 	case f.Duplicate:
 		duplicate(w, data)
+	case t.hook != nil:
+		t.replyInHalves(w, r, data)
 	default:
 		write(w, http.StatusOK, data)
 	}
 }
 
+// replyInHalves calls the hook between the halves of a reply. A target that the hook froze sends no second half.
+func (t *Target) replyInHalves(w http.ResponseWriter, r *http.Request, data []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(data)))
+	w.Write(data[:len(data)/2])
+	_ = http.NewResponseController(w).Flush()
+	t.hook(PartlyReplied)
+	if t.faults().Freeze {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	w.Write(data[len(data)/2:])
+}
+
 // refuse answers q with a refusal.
 func (t *Target) refuse(w http.ResponseWriter, q *wire.Query, code wire.Code, notRun bool, message string) {
 	status := http.StatusServiceUnavailable
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -54,6 +54,7 @@
 	grace       time.Duration
 	incarnation uint64
 	started     time.Time
+	hook        func(Stage)
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -116,6 +117,20 @@
 // WithJournal bounds the journal; the oldest entries are dropped first.
 func WithJournal(n int) Option { return func(t *Target) { t.journal.bound = max(1, n) } }
 
+// Stage is a moment in the life of a query at a target.
+type Stage string
+
+// The stages that a hook is called at.
+const (
+	Connected     Stage = "connected"      // a connection was accepted
+	PartlyRead    Stage = "partly read"    // the first bytes of a query were read
+	Running       Stage = "running"        // the query is in the journal
+	PartlyReplied Stage = "partly replied" // half of the reply was written
+)
+
+// WithHook calls hook at each stage of each query. The target goes on when hook returns, under the faults then in force.
+func WithHook(hook func(Stage)) Option { return func(t *Target) { t.hook = hook } }
+
 // New returns a Target with 2 slots and a queue of 4 that answers at once, unless options say otherwise.
 func New(timers *timer.Service, options ...Option) *Target {
 	now := timers.Now()
