--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -59,6 +59,7 @@
 	log      *event.Log
 	metrics  *metric.Set
 	seed     uint64
+	adjust   func(*fanout.Engine)
 
 	listeners listeners
 	stopping  atomic.Bool
@@ -66,6 +67,7 @@
 	polled    atomic.Bool
 	// incomplete names the services whose lack of shards was logged. Only names of the configuration get here.
 	incomplete sync.Map
+	adopted    chan struct{} // wakes the poll of the targets
 
 	platform *platform.Client
 	targets  *target.Client
@@ -106,11 +108,16 @@
 	return func(e *Entry) { e.settings.dial = dial }
 }
 
+// WithEngine calls adjust with the assembled engine, so that a test can wrap its function fields before the first request.
+func WithEngine(adjust func(*fanout.Engine)) Option {
+	return func(e *Entry) { e.adjust = adjust }
+}
+
 // New checks settings, opens the three listeners and assembles the parts.
 func New(settings Settings, options ...Option) (e *Entry, err error) {
 	defer func() { err = Error.Wrap(err) }()
 
-	e = &Entry{settings: settings, timers: timer.New(), seed: rand.Uint64()}
+	e = &Entry{settings: settings, timers: timer.New(), seed: rand.Uint64(), adopted: make(chan struct{}, 1)}
 	for _, option := range options {
 		option(e)
 	}
@@ -169,7 +176,13 @@
 
 	e.keeper = configuration.NewKeeper(e.settings.AvailabilityZone, contract.Merge,
 		configuration.WithKeeperLog(e.log),
-		configuration.WithOnAdopt(func(active configuration.Active) { e.spread.Adopted(active) }))
+		configuration.WithOnAdopt(func(active configuration.Active) {
+			e.spread.Adopted(active)
+			select {
+			case e.adopted <- struct{}{}:
+			default:
+			}
+		}))
 	e.members = membership.New(self, e.timers,
 		membership.Calls{Ping: e.peers.Ping, PingRequest: e.peers.PingRequest, Sync: e.peers.Sync},
 		membership.WithSeeds(e.settings.Seeds...),
@@ -227,6 +240,9 @@
 		ReturnPath: e.settings.ReturnPath,
 	}
 	e.hedging()
+	if e.adjust != nil {
+		e.adjust(e.engine)
+	}
 	e.callers = caller.NewHandler(e.answer, caller.WithReady(e.Ready))
 }
 
