Bound the target requests in flight at admission

Cause: at 2x overload the queues at the owners outgrew the deadline within the first 0.2 s, before the threshold had risen. All 62 incomplete pages of an instance fell into that time, by the log. Change: target requests in flight are bounded to 8 for each slot, shared by the live instances. Owners report delays, also those of refused attempts. A full window closes the budget of hedges and retries.

--- a/cmd/bench/bench.go
+++ b/cmd/bench/bench.go
@@ -56,6 +56,7 @@
 	order   []key
 	used    map[string]*load.Counters // by policy
 	version uint64
+	notes   []string
 }
 
 // run runs all groups and returns the report.
@@ -306,6 +307,7 @@
 		r.Notes = append(r.Notes, b.use(ledger, journals)...)
 	} else {
 		r.Targets = b.targets(ledger, faults)
+		r.Notes = append(r.Notes, b.notes...)
 	}
 
 	return r, nil
--- a/cmd/bench/plan.go
+++ b/cmd/bench/plan.go
@@ -81,6 +81,12 @@
 			{name: overload, slice: 3 * time.Second, capacity: 2, faults: slowAll},
 		}},
 	},
+	"overload": {
+		{rounds: 1, phases: []phase{
+			{name: slow, slice: time.Second, capacity: spareLoad, faults: slowAll},
+			{name: overload, slice: 5 * time.Second, capacity: 2, faults: slowAll},
+		}},
+	},
 	"limits": {
 		{rounds: 4, phases: []phase{
 			{name: slow, slice: 1500 * time.Millisecond, capacity: spareLoad, faults: slowAll},
--- a/cmd/bench/targets.go
+++ b/cmd/bench/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -85,6 +86,11 @@
 		shed += c.counters.Sent(names[i], "Shed")
 		sent += c.counters.Sent(names[i])
 	}
+	use := 0.0
+	for _, s := range cells[0].spans {
+		use += ledger.Use(s.from, s.to, 0, len(b.catalogue())).Mean / float64(len(cells[0].spans))
+	}
+	b.notes = append(b.notes, fmt.Sprintf("2x overload, %s: slots in use at a target: mean %.2f of 2", policy, use))
 	add("2x overload: worth answered / worth that capacity allows", policy, worth/b.allowedWorth(ledger, cells), boundWorth, true)
 	add("2x overload: extra load above that without overload", policy, extra(cells)-extra(spare), boundOverloadAdd, false)
 	add("2x overload: target requests shed", policy, shed/max(sent, 1), boundShed, false)
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -46,6 +46,12 @@
 	retryAfter = time.Second
 )
 
+// windowFactor is the number of target requests in flight for each slot of the targets, over all instances. Most
+// requests in flight wait for their last shards and leave other slots free, so that 6 for each slot answered 93% of the worth
+// that the slots allow, and 8 answered 95%. With 8, the wait for a slot is seven service times at most on average, and a request
+// that finds the window full is refused before the queues at the owners outgrow the deadline.
+const windowFactor = 8
+
 // Result is what became of an admitted request.
 type Result struct {
 	// Answered is true when the caller got an answer. Only then does the duration count as the time that the service needs.
@@ -69,6 +75,7 @@
 	random     *rand.Rand
 	maxRunning int
 	maxQueue   int
+	instances  func() int
 
 	mu       sync.Mutex
 	running  int
@@ -114,6 +121,12 @@
 	return func(c *Controller) { c.log = log }
 }
 
+// WithInstances bounds the target requests in flight to windowFactor for each slot of the targets, divided by the number of live
+// instances that instances returns. At least one request is admitted at a time. The default is no bound.
+func WithInstances(instances func() int) Option {
+	return func(c *Controller) { c.instances = instances }
+}
+
 // New returns a Controller that takes the time from timers.
 func New(timers *timer.Service, options ...Option) *Controller {
 	c := &Controller{
@@ -199,7 +212,17 @@
 	}
 }
 
-// Overloaded reports whether a worth threshold is in force for the service.
+// ObserveShards takes note of the number of target requests that a request of the service needs.
+func (c *Controller) ObserveShards(name string, shards int) {
+	c.mu.Lock()
+	defer c.unlock()
+	if s, ok := c.services[name]; ok {
+		s.cost = float64(shards)
+	}
+}
+
+// Overloaded reports whether a worth threshold is in force for the service, or its window of requests in flight was full within
+// the last second.
 func (c *Controller) Overloaded(name string) bool {
 	c.mu.Lock()
 	defer c.unlock()
@@ -211,7 +234,7 @@
 	c.roll(s.shared, now)
 	c.roll(c.own, now)
 
-	return s.shared.level > 0 || c.own.level > 0
+	return s.shared.level > 0 || c.own.level > 0 || !s.shared.full.IsZero() && now.Sub(s.shared.full) < fullTime
 }
 
 // Threshold returns the worth from which on requests of the service's targets are all admitted. Requests of the next lower worth
@@ -251,6 +274,10 @@
 		c.stats.Shed++
 
 		return c.refusal(w, caller.Overloaded, fmt.Sprintf("worth %g is below the threshold", w.worth))
+	case !w.protected && c.isFull(w):
+		c.stats.Shed++
+
+		return c.refusal(w, caller.Overloaded, "the targets have as many requests in flight as they can answer in time")
 	case c.running < c.maxRunning && c.queue.length == 0:
 		c.grant(w, now)
 
@@ -286,8 +313,27 @@
 	return true
 }
 
+// isFull reports whether w finds the window of its targets full, and takes note of the pressure.
+func (c *Controller) isFull(w *waiter) bool {
+	if c.instances == nil {
+		return false
+	}
+	t := w.service.shared
+	used := t.inFlight()
+	window := windowFactor * float64(t.slots) / float64(max(1, c.instances())) * t.windowShare(w.worth)
+	if used == 0 || used+w.service.cost <= window {
+		return false
+	}
+	t.full = c.timers.Now()
+	c.observe(t, refusalPressure)
+
+	return true
+}
+
 func (c *Controller) grant(w *waiter, now time.Time) {
 	c.running++
+	w.taken = w.service.cost
+	w.service.inFlight += w.taken
 	c.stats.Admitted++
 	if w.protected {
 		c.stats.LetThrough++
@@ -317,6 +363,7 @@
 		w.service.took(now.Sub(began))
 	}
 	c.running--
+	w.service.inFlight -= w.taken
 	for c.running < c.maxRunning && c.queue.length > 0 {
 		next := c.queue.pop()
 		if !now.Before(next.latest) {
--- a/internal/policy/admission/queue.go
+++ b/internal/policy/admission/queue.go
@@ -13,8 +13,10 @@
 	cost    float64
 	// protected marks a request of the share that is let through under overload. A request of higher worth does not evict it.
 	protected bool
-	arrived   time.Time
-	latest    time.Time
+	// taken is what the grant added to inFlight of the service.
+	taken   float64
+	arrived time.Time
+	latest  time.Time
 	// queued is true while the request is in the queue, and result receives one value when it leaves it.
 	queued bool
 	result chan error
--- a/internal/policy/admission/service.go
+++ b/internal/policy/admission/service.go
@@ -22,8 +22,11 @@
 	worth       float64
 	firstAnswer time.Duration
 	replicas    []contract.Replica
-	shared      *threshold
-	used        time.Time
+	slots       int
+	// cost is the number of target requests of one request, and inFlight their sum over the admitted requests.
+	cost, inFlight float64
+	shared         *threshold
+	used           time.Time
 	// credit is the sum of the admitted shares that no request has used yet.
 	credit float64
 	// average is the smoothed duration of answered requests.
@@ -38,16 +41,16 @@
 			c.dropOldest()
 		}
 		// A random start keeps instances from letting requests through in step.
-		s = &service{name: name, credit: c.random.Float64(), shared: &threshold{began: now}}
+		s = &service{name: name, credit: c.random.Float64(), shared: &threshold{began: now}, cost: costOf(contracted)}
 		c.services[name] = s
 	}
 	s.used = now
 	s.firstAnswer = contracted.FirstAnswer()
-	if ok && s.worth == contracted.Worth && sameSlice(s.replicas, contracted.Replicas) {
+	if ok && s.worth == contracted.Worth && s.slots == contracted.Slots && sameSlice(s.replicas, contracted.Replicas) {
 		return s
 	}
-	changed := !ok || s.worth != contracted.Worth || !slices.Equal(s.replicas, contracted.Replicas)
-	s.worth, s.replicas = contracted.Worth, contracted.Replicas
+	changed := !ok || s.worth != contracted.Worth || s.slots != contracted.Slots || !slices.Equal(s.replicas, contracted.Replicas)
+	s.worth, s.replicas, s.slots = contracted.Worth, contracted.Replicas, contracted.Slots
 	if changed {
 		c.regroup(now)
 	}
--- a/internal/policy/admission/threshold.go
+++ b/internal/policy/admission/threshold.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -13,7 +14,7 @@
 	window = 100 * time.Millisecond
 	// delayShare is the queue delay, as a share of the time to the first answer, at which pressure is 1. Above it the deadline
 	// of a query that waits for many targets is at risk.
-	delayShare = 0.1
+	delayShare = 0.3
 	// refusalPressure makes a tenth of refused requests as bad as the delay at which pressure is 1.
 	refusalPressure = 10
 	// rise and fall are the changes of the level for each window. At a pressure of 2 the threshold passes one worth in 1 s, at
@@ -21,7 +22,13 @@
 	// at which the targets have no spare capacity.
 	rise      = 0.1
 	maxExcess = 3
-	fall      = 0.02
+	fall      = 0.05
+	// holdWindows is the number of windows for which a rising level rests where all requests of one more worth are refused. The
+	// queues at the targets need that time to empty, and the pressure that they cause until then would refuse the next worth
+	// without need.
+	holdWindows = 4
+	// fullTime is how long a full window counts as overload, so that hedges do not resume between two bursts.
+	fullTime = time.Second
 )
 
 // threshold is the worth threshold for the services that share targets.
@@ -34,10 +41,15 @@
 	// worths holds the distinct worths of members in ascending order.
 	worths []float64
 	level  float64
+	// slots is the number of requests that the targets of members run at a time.
+	slots int
 
 	began    time.Time
 	pressure float64
 	samples  int
+	hold     int // windows that the level still rests
+	// full is the last time at which a request found the window of requests in flight full.
+	full time.Time
 }
 
 func (t *threshold) add(pressure float64) {
@@ -55,9 +67,17 @@
 	if t.samples > 0 {
 		mean = t.pressure / float64(t.samples)
 	}
-	if mean > 1 {
+	switch {
+	case mean > 1 && t.hold > 0:
+		t.hold--
+	case mean > 1:
+		next := math.Floor(t.level) + 1
 		t.level += rise * min(mean-1, maxExcess)
-	} else {
+		if t.level >= next {
+			t.level, t.hold = next, holdWindows
+		}
+	default:
+		t.hold = 0
 		t.level -= fall * (1 - mean)
 	}
 	t.level = min(t.level, float64(len(t.worths)))
@@ -85,6 +105,26 @@
 	}
 }
 
+// inFlight returns the target requests that the admitted requests of members may have in flight.
+func (t *threshold) inFlight() (n float64) {
+	for _, s := range t.members {
+		n += s.inFlight
+	}
+
+	return n
+}
+
+// windowShare returns the part of the window that requests of this worth may fill. The lowest worth leaves half of it to
+// those above, so that a burst of it cannot keep them out until the level has risen.
+func (t *threshold) windowShare(worth float64) float64 {
+	if len(t.worths) < 2 {
+		return 1
+	}
+	rank, _ := slices.BinarySearch(t.worths, worth)
+
+	return 0.5 + 0.5*float64(min(rank, len(t.worths)-1))/float64(len(t.worths)-1)
+}
+
 func (t *threshold) names() string {
 	names := make([]string, 0, len(t.members))
 	for _, s := range t.members {
@@ -100,6 +140,16 @@
 	for _, s := range members {
 		t.worths = append(t.worths, s.worth)
 	}
+	slots := make(map[netip.AddrPort]int)
+	for _, s := range members {
+		for _, r := range s.replicas {
+			slots[r.Address] = max(slots[r.Address], s.slots)
+		}
+	}
+	t.slots = 0
+	for _, n := range slots {
+		t.slots += n
+	}
 	slices.Sort(t.worths)
 	t.worths = slices.Compact(t.worths)
 	t.level = min(t.level, float64(len(t.worths)))
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -131,8 +131,12 @@
 	e.catalog = snapshot.New(snapshot.WithTimers(e.timers))
 	e.links = link.NewTable(e.timers, link.WithLog(e.log))
 	e.admission = admission.New(e.timers, admission.WithSeed(e.seed), admission.WithLog(e.log),
-		admission.WithRunning(e.settings.Running))
+		admission.WithRunning(e.settings.Running),
+		admission.WithInstances(func() int { return len(e.members.Live()) }))
 	e.slots = slots.NewTable(e.timers, slots.WithVariant(e.variant()), slots.WithLog(e.log))
+	// The owner sees a delay before the reply brings it to the instance that accepted the request, and it alone sees that of
+	// attempts which the queue refuses.
+	e.slots.OnDelay = e.observeDelay
 }
 
 // variant returns the way in which instances share a target's slots. Without owners every instance sends directly.
--- a/internal/run/entry/query.go
+++ b/internal/run/entry/query.go
@@ -57,7 +57,12 @@
 }
 
 func (e *Entry) pin(service string, s contract.Service, newerThan uint64) (snapshot.Pin, bool) {
-	return e.catalog.Pin(service, s.Replicas, newerThan)
+	pin, ok := e.catalog.Pin(service, s.Replicas, newerThan)
+	if ok && s.Class != contract.OneRecord {
+		e.admission.ObserveShards(service, pin.Shards())
+	}
+
+	return pin, ok
 }
 
 func (e *Entry) admit(ctx context.Context, service string, s contract.Service) (done func(), err error) {
