Hedge at the 98th percentile, at most three medians

Cause: a hedge at the 95th percentile repeats one request in 20, most of which were about to be answered. With 1% stragglers the budget was spent on them, so that some stragglers went without a hedge. Change: the delay is the 98th percentile, at most three medians for times with many stragglers, and never below the quantile that ExtraLoad pays for.

--- a/cmd/bench/bench.go
+++ b/cmd/bench/bench.go
@@ -200,7 +200,10 @@
 		wanted = map[string]float64{"catalogue": p.capacity * pages / 2, "catalogue-quick": p.capacity * pages / 2}
 	}
 	for _, name := range slices.Sorted(maps.Keys(wanted)) {
-		s := services[name]
+		s, ok := services[name]
+		if !ok {
+			continue
+		}
 		classes = append(classes, load.Class{
 			Service: name, Contract: s, Shards: asked(name, s.Class == contract.OneRecord), Rate: wanted[name],
 		})
--- a/cmd/bench/plan.go
+++ b/cmd/bench/plan.go
@@ -87,6 +87,13 @@
 			{name: overload, slice: 5 * time.Second, capacity: 2, faults: slowAll},
 		}},
 	},
+	"stragglers": {
+		{rounds: 6, phases: []phase{
+			{name: quiet, slice: 1200 * time.Millisecond},
+			{name: stragglers, slice: 1200 * time.Millisecond, faults: slowSome(0.01)},
+			{name: many, slice: 1200 * time.Millisecond, faults: slowSome(0.05)},
+		}},
+	},
 	"limits": {
 		{rounds: 4, phases: []phase{
 			{name: slow, slice: 1500 * time.Millisecond, capacity: spareLoad, faults: slowAll},
--- a/internal/policy/hedge/hedge.go
+++ b/internal/policy/hedge/hedge.go
@@ -6,9 +6,10 @@
 //	h.Observe("catalogue", 4*time.Millisecond)
 //	delay, ok := h.Delay("catalogue")
 //
-// Hedging every request that is slower than quantile q sends a second copy of 1-q of the requests. The quantile is
-// therefore 1-ExtraLoad, so that hedges alone do not need more than the budget of the service gives. It is never below the
-// 95th percentile: an earlier hedge mostly repeats requests that were about to be answered.
+// Hedging every request that is slower than quantile q sends a second copy of 1-q of the requests. The delay is the 98th
+// percentile, which repeats few requests that were about to be answered, but at most three times the median: when more than
+// one request in 50 is a straggler, the 98th percentile is the time of a straggler. It is never below quantile 1-ExtraLoad, so
+// that hedges alone do not need more than the budget of the service gives, nor below the 95th percentile.
 package hedge
 
 import (
@@ -23,6 +24,10 @@
 const (
 	// earliest is the lowest quantile that is hedged.
 	earliest = 0.95
+	// usual is the quantile that is hedged unless it exceeds manyMedians times the median. Service times without stragglers
+	// have their 98th percentile at about twice their median.
+	usual       = 0.98
+	manyMedians = 3
 	// The digest covers the last windows × period. It is long enough for a stable 95th percentile at 10 requests a second and
 	// short enough to follow a change of load.
 	windows = 4
@@ -132,7 +137,8 @@
 		d.merged.Merge(w)
 	}
 	d.known = d.merged.TotalCount() >= minimumSamples
-	d.delay = time.Duration(d.merged.ValueAtQuantile(quantile*100)) * unit
+	delay := min(d.merged.ValueAtQuantile(max(quantile, usual)*100), manyMedians*d.merged.ValueAtQuantile(50))
+	d.delay = time.Duration(max(delay, d.merged.ValueAtQuantile(quantile*100))) * unit
 
 	return d.delay, d.known
 }
