--- a/cmd/bench/bench.go
+++ b/cmd/bench/bench.go
@@ -56,6 +56,7 @@
 	order   []key
 	used    map[string]*load.Counters // by policy
 	version uint64
+	notes   []string
 }
 
 // run runs all groups and returns the report.
@@ -199,7 +200,10 @@
 		wanted = map[string]float64{"catalogue": p.capacity * pages / 2, "catalogue-quick": p.capacity * pages / 2}
 	}
 	for _, name := range slices.Sorted(maps.Keys(wanted)) {
-		s := services[name]
+		s, ok := services[name]
+		if !ok {
+			continue
+		}
 		classes = append(classes, load.Class{
 			Service: name, Contract: s, Shards: asked(name, s.Class == contract.OneRecord), Rate: wanted[name],
 		})
@@ -306,6 +310,7 @@
 		r.Notes = append(r.Notes, b.use(ledger, journals)...)
 	} else {
 		r.Targets = b.targets(ledger, faults)
+		r.Notes = append(r.Notes, b.notes...)
 	}
 
 	return r, nil
--- a/internal/run/entry/query.go
+++ b/internal/run/entry/query.go
@@ -59,6 +59,9 @@
 func (e *Entry) pin(service string, s contract.Service, newerThan uint64) (snapshot.Pin, bool) {
 	pin, ok := e.catalog.Pin(service, s.Replicas, newerThan)
 	e.noteCoverage(service, pin, ok)
+	if ok && s.Class != contract.OneRecord {
+		e.admission.ObserveShards(service, pin.Shards())
+	}
 
 	return pin, ok
 }
