Compress configuration records between instances

Change: Push and Configuration carry the record in DEFLATE. The receiver stops expanding at the bound of the store's values, and a test holds that.

A fleet of instances with and without this change cannot exchange records; they learn them from the store.

--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -210,13 +210,22 @@
 func (c *Client) Configuration(ctx context.Context, to netip.AddrPort, have uint64) ([]byte, error) {
 	var out configurationReply
 	err := c.control(ctx, to, rpcConfiguration, &configurationRequest{Sender: c.sender, Have: have}, &out)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := unpack(out.Record)
 
-	return out.Record, err
+	return raw, Error.Wrap(err)
 }
 
 // Push offers a raw record to the peer.
 func (c *Client) Push(ctx context.Context, to netip.AddrPort, raw []byte) error {
-	return c.control(ctx, to, rpcPush, &record{Sender: c.sender, Record: raw}, &done{})
+	packed, err := pack(raw)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+
+	return c.control(ctx, to, rpcPush, &record{Sender: c.sender, Record: packed}, &done{})
 }
 
 func (c *Client) control(ctx context.Context, to netip.AddrPort, rpc string, in, out any) error {
--- a/internal/wire/peer/export_test.go
+++ b/internal/wire/peer/export_test.go
@@ -8,6 +8,9 @@
 	}
 }
 
+// Unpack expands a compressed record.
+var Unpack = unpack
+
 // Encode and Decode are those of the drpc encoding.
 var (
 	Encode = encoding{}.Marshal
--- a/internal/wire/peer/message.go
+++ b/internal/wire/peer/message.go
@@ -215,7 +215,7 @@
 	return faults.Err()
 }
 
-// record carries a configuration record as it stands in the store. Its content is checked by fleet/configuration.
+// record carries a compressed configuration record. Its content is checked by fleet/configuration.
 type record struct {
 	Sender Sender
 	Record []byte
@@ -232,7 +232,7 @@
 	return faults.Err()
 }
 
-// configurationReply carries no record when the sender's is not older.
+// configurationReply carries a compressed record, or none when the sender's is not older.
 type configurationReply struct {
 	Record []byte
 }
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -1,6 +1,8 @@
 package peer_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"errors"
 	"net"
@@ -373,6 +375,17 @@
 		Entry("too large a record", func(r *rig) error {
 			return r.client.Push(context.Background(), r.address, make([]byte, peer.MaxRecordBytes+1))
 		}, "Record: 1048577 bytes"),
+		Entry("a small record that expands to too large a one", func(*rig) error {
+			var packed bytes.Buffer
+			w, err := flate.NewWriter(&packed, flate.BestCompression)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(w.Write(make([]byte, peer.MaxRecordBytes+1))).To(Equal(peer.MaxRecordBytes + 1))
+			Expect(w.Close()).To(Succeed())
+			Expect(packed.Len()).To(BeNumerically("<", 4096))
+			_, err = peer.Unpack(packed.Bytes())
+
+			return err
+		}, "Record: expands to over 1048576 bytes"),
 		Entry("a call that the server lacks", func(r *rig) error {
 			_, err := r.client.Configuration(context.Background(), r.address, 1)
 
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -248,7 +248,12 @@
 	}
 	raw, err := s.configurationFunc(ctx, in.Sender, in.Have)
 
-	return &configurationReply{Record: raw}, err
+	if err != nil {
+		return nil, err
+	}
+	packed, err := pack(raw)
+
+	return &configurationReply{Record: packed}, err
 }
 
 func (s *Server) push(ctx context.Context, in *record) (*done, error) {
@@ -256,7 +261,12 @@
 		return nil, err
 	}
 
-	return &done{}, s.pushFunc(ctx, in.Sender, in.Record)
+	raw, err := unpack(in.Record)
+	if err != nil {
+		return nil, drpcerr.WithCode(err, codeMalformed)
+	}
+
+	return &done{}, s.pushFunc(ctx, in.Sender, raw)
 }
 
 // boundedListener closes connections over maxConnections at once.
