Leave members that are alive out of the expiry at each step

Cause: expire sorted the names of all members 4 times a second. In a profile of 128 simulated instances it took half of the processor time.

Change: only members that are not alive are sorted and looked at. Alive members matched no case before, so what happens stays the same.

--- a/internal/fleet/membership/merge.go
+++ b/internal/fleet/membership/merge.go
@@ -191,11 +191,14 @@
 	}
 }
 
-// expire ends suspicions and forgets instances that are long gone. The caller holds mu.
+// expire ends suspicions and forgets instances that are long gone. Members that are alive are left out, because sorting all
+// names at every step was half of the processor time of membership. The caller holds mu.
 func (m *Membership) expire(now time.Time) {
-	names := make([]string, 0, len(m.members))
-	for name := range m.members {
-		names = append(names, name)
+	var names []string
+	for name, known := range m.members {
+		if known.State != instance.Alive {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	asked := 0
