--- a/cmd/benchcontrol/main.go
+++ b/cmd/benchcontrol/main.go
@@ -23,6 +23,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&liveCommand{}, "")
+	subcommands.Register(&simulateCommand{}, "")
 
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -82,6 +83,33 @@
 	return finish(&report, err)
 }
 
+type simulateCommand struct {
+	options control.SimulateOptions
+	timeout time.Duration
+}
+
+func (*simulateCommand) Name() string     { return "simulate" }
+func (*simulateCommand) Synopsis() string { return "simulate large fleets in simulated time" }
+func (*simulateCommand) Usage() string {
+	return "simulate [-sizes 32,64,128,256,450] [-seed 1] [-timeout 10m]:\n" +
+		"  Simulate large fleets with in-memory calls and a fake clock.\n"
+}
+
+func (c *simulateCommand) SetFlags(flags *flag.FlagSet) {
+	c.options.Sizes = []int{32, 64, 128, 256, 450}
+	flags.Var((*sizes)(&c.options.Sizes), "sizes", "numbers of instances")
+	flags.Uint64Var(&c.options.Seed, "seed", 1, "seed of all random choices")
+	flags.DurationVar(&c.timeout, "timeout", 10*time.Minute, "longest wall-clock time for the whole run")
+}
+
+func (c *simulateCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	report, err := control.Simulate(ctx, c.options)
+
+	return finish(&report, err)
+}
+
 // report is a result that prints itself for people and encodes for programs.
 type report interface {
 	Print(w io.Writer)
--- a/internal/bench/control/control_test.go
+++ b/internal/bench/control/control_test.go
@@ -36,3 +36,15 @@
 	Expect(revision).To(Equal(uint64(7)))
 	Expect(at).NotTo(BeZero())
 })
+
+var _ = It("simulates a fleet in which changes come into force and failures are seen, so that no figure is empty", func(ctx SpecContext) {
+	report, err := Simulate(ctx, SimulateOptions{Sizes: []int{18}, Seed: 3})
+	Expect(err).NotTo(HaveOccurred())
+	s := report.Sizes[0]
+	Expect(s.InForce.Samples).To(Equal(changes))
+	Expect(s.InForce.P50).To(BeNumerically(">", 0))
+	Expect(s.DetectAll.P50).To(BeNumerically(">=", s.DetectFirst.P50))
+	Expect(s.RegionHealed).To(BeNumerically(">", 0))
+	Expect(s.FalseFailures).To(BeZero())
+	Expect(s.RecordsSent).To(BeNumerically(">=", 1))
+})
