Rank owners without copying members

Cause: dispatch ranks the owners of a target for every attempt. At 450 instances in 9 zones this took 43 to 47 µs and 50 KB, 1.3 cores of an instance at 29,300 target requests a second: room for all live members was allocated, and whole members were hashed into and sorted.

Change: count the members of the zone first, hash from one buffer, and sort indices. Weights and order stay the same, as the tests hold.

--- a/internal/fleet/ownership/ownership.go
+++ b/internal/fleet/ownership/ownership.go
@@ -20,46 +20,54 @@
 // Rank returns members in rendezvous order for key. It depends neither on the order of members nor on anything but their
 // names, so that a restarted instance keeps what it owned.
 func Rank(key string, members []instance.Instance) []instance.Instance {
-	type ranked struct {
-		member instance.Instance
-		weight uint64
-	}
-	order := make([]ranked, 0, len(members))
-	hash := xxhash.New()
-	for _, member := range members {
-		hash.Reset()
-		_, _ = hash.WriteString(key)
-		// The separator keeps key "ab" of member "c" apart from key "a" of member "bc".
-		_, _ = hash.Write([]byte{0})
-		_, _ = hash.WriteString(member.Name)
-		order = append(order, ranked{member: member, weight: hash.Sum64()})
+	order := make([]ranked, len(members))
+	data := make([]byte, 0, 192)
+	// The separator keeps key "ab" of member "c" apart from key "a" of member "bc".
+	data = append(append(data, key...), 0)
+	prefix := len(data)
+	for i := range members {
+		data = append(data[:prefix], members[i].Name...)
+		order[i] = ranked{weight: xxhash.Sum64(data), member: int32(i)}
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
 		if a.weight != b.weight {
 			return cmp.Compare(b.weight, a.weight)
 		}
 
-		return cmp.Compare(a.member.Name, b.member.Name)
+		return cmp.Compare(members[a.member].Name, members[b.member].Name)
 	})
-	result := make([]instance.Instance, 0, len(order))
-	for _, r := range order {
-		result = append(result, r.member)
+	result := make([]instance.Instance, len(order))
+	for i, r := range order {
+		result[i] = members[r.member]
 	}
 
 	return result
 }
 
+// ranked is a member with its weight for a key. Sorting indices moves a sixth of the memory that sorting members does.
+type ranked struct {
+	weight uint64
+	member int32
+}
+
 // Owners returns the instances that may own replica, the owner first: those of live in the replica's zone, or all when that
 // zone has none.
 func Owners(replica contract.Replica, live []instance.Instance) []instance.Instance {
-	candidates := make([]instance.Instance, 0, len(live))
-	for _, member := range live {
-		if member.AvailabilityZone == replica.AvailabilityZone {
-			candidates = append(candidates, member)
+	// Dispatch ranks for every attempt, so room for all of live would cost more than the ranking.
+	count := 0
+	for i := range live {
+		if live[i].AvailabilityZone == replica.AvailabilityZone {
+			count++
 		}
 	}
-	if len(candidates) == 0 {
-		candidates = live
+	candidates := live
+	if count > 0 {
+		candidates = make([]instance.Instance, 0, count)
+		for i := range live {
+			if live[i].AvailabilityZone == replica.AvailabilityZone {
+				candidates = append(candidates, live[i])
+			}
+		}
 	}
 
 	return Rank(replica.Address.String(), candidates)
