--- a/internal/proof/request/fleet_test.go
+++ b/internal/proof/request/fleet_test.go
@@ -74,7 +74,7 @@
 
 		return service(name)
 	}
-	e.Admit = func(ctx context.Context, name string, s contract.Service) (func(), error) {
+	e.Admit = func(ctx context.Context, name string, s contract.Service) (func(bool), error) {
 		defer f.reached(admitted)
 
 		return admit(ctx, name, s)
