Do not cancel the context of a peer call that succeeded

Cause: a call's timeout context was cancelled when the call returned, after its connection was back in the pool. drpc may still be about to end the stream, takes the cancellation for that of a call in progress and closes the connection, which fails the next call on it: as Unreachable when nothing was written, and as Unknown when something was. An unreached owner is passed over for 1 s, so one such failure moved ownership. Ruled out: timeouts (a minute in the benchmark) and the pool's bound. Change: parent and timeout cancel a detached context, and both are disconnected when the call has succeeded.

--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -246,39 +246,68 @@
 	if err != nil {
 		return false, err
 	}
-	ctx, cancel := c.timers.WithTimeout(ctx, timeout)
-	defer cancel()
-	l, err := c.pools.acquire(ctx, key)
+	began := c.timers.Now()
+	l, err := c.acquire(ctx, timeout, key)
 	if err != nil {
 		return false, err
 	}
 	written, read := l.transport.written.Load(), l.transport.read.Load()
-	err = l.conn.Invoke(ctx, rpc, encoding{}, encoded(data), out)
+	ended, err := c.invoke(ctx, timeout-c.timers.Since(began), l.conn, rpc, encoded(data), out)
 	handed = l.transport.written.Load() != written
 
 	keep := true
 	switch {
-	case ctx.Err() == nil || l.transport.read.Load() != read:
+	case ended == nil || l.transport.read.Load() != read:
 		l.silent = 0
 	default:
 		l.silent++
 	}
-	if err != nil && (errors.Is(ctx.Err(), context.DeadlineExceeded) || l.silent >= maxSilent) {
+	if err != nil && (errors.Is(ended, context.DeadlineExceeded) || l.silent >= maxSilent) {
 		keep = false
 	}
 	c.pools.release(key, l, keep)
-	if err != nil && ctx.Err() != nil {
+	if err != nil && ended != nil {
 		// drpc reports a connection closed by the cancellation in several ways.
-		err = fmt.Errorf("%w: %w", ctx.Err(), err)
+		err = fmt.Errorf("%w: %w", ended, err)
 	}
 
 	return handed, err
 }
 
-func (c *Client) dial(ctx context.Context, address netip.AddrPort) (l *link, err error) {
-	ctx, cancel := c.timers.WithTimeout(ctx, c.dialTimeout)
+func (c *Client) acquire(ctx context.Context, timeout time.Duration, key poolKey) (*link, error) {
+	ctx, cancel := c.timers.WithTimeout(ctx, timeout)
 	defer cancel()
-	raw, err := c.dialer(ctx, address)
+
+	return c.pools.acquire(ctx, key)
+}
+
+// invoke makes a call that ends with ctx and after timeout; ended says which of the two ended it. The context of a call that
+// succeeded is not cancelled: drpc may still be about to end the stream, and would take the cancellation for that of a call
+// in progress and close the connection, which by then serves the next call.
+func (c *Client) invoke(
+	ctx context.Context,
+	timeout time.Duration,
+	conn *drpcconn.Conn,
+	rpc string,
+	in, out any,
+) (ended, err error) {
+	call, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stopParent := context.AfterFunc(ctx, func() { cancel(ctx.Err()) })
+	stopTimer := c.timers.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	err = conn.Invoke(call, rpc, encoding{}, in, out)
+	stopParent()
+	stopTimer()
+	ended = context.Cause(call)
+	if err != nil {
+		cancel(err)
+	}
+
+	return ended, err
+}
+
+func (c *Client) dial(ctx context.Context, address netip.AddrPort) (l *link, err error) {
+	began := c.timers.Now()
+	raw, err := c.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -287,7 +316,8 @@
 		transport: transport,
 		conn:      drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions(0)}),
 	}
-	if err := l.conn.Invoke(ctx, rpcHello, encoding{}, &hello{Sender: c.sender}, &done{}); err != nil {
+	remaining := c.dialTimeout - c.timers.Since(began)
+	if _, err := c.invoke(ctx, remaining, l.conn, rpcHello, &hello{Sender: c.sender}, &done{}); err != nil {
 		_ = l.conn.Close()
 
 		return nil, err
@@ -295,3 +325,10 @@
 
 	return l, nil
 }
+
+func (c *Client) open(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := c.timers.WithTimeout(ctx, c.dialTimeout)
+	defer cancel()
+
+	return c.dialer(ctx, address)
+}
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,6 +132,25 @@
 		Expect(r.dials.Load()).To(BeEquivalentTo(1))
 	})
 
+	It("loses no call to the end of the call before it on the connection", func() {
+		const parallel = 8
+		r := newRig(relay(answer))
+		var failed atomic.Int32
+		var calls sync.WaitGroup
+		for range parallel {
+			calls.Go(func() {
+				for range 5000 {
+					if _, err := r.client.Relay(context.Background(), r.address, newAttempt()); err != nil {
+						failed.Add(1)
+					}
+				}
+			})
+		}
+		calls.Wait()
+		Expect(failed.Load()).To(BeZero())
+		Expect(r.dials.Load()).To(BeNumerically("<=", parallel))
+	})
+
 	DescribeTable("reports what the peer says, and Unknown for what it leaves open",
 		func(reply target.Reply, failure error, outcome target.Outcome, code target.Code) {
 			r := newRig(relay(func(context.Context, peer.Sender, attempt.Attempt) (target.Reply, error) { return reply, failure }))
