Show that each guarantee about requests depends on its mechanism

make prove runs a scenario for each of the guarantees 1 to 5 with its mechanism switched off through the function fields of the engine, where the judge must report that guarantee, and with it on, where it must be silent. Each part of a mechanism is switched off by itself.

The first forms of two scenarios were not stable and were replaced by stricter ones: a misdirected reply needs a query before it at each target, and a late reply raced the deadline.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build test lint format tools clean demo
+.PHONY: build test lint format tools clean demo prove
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -16,6 +16,10 @@
 demo: build
 	scripts/demo
 
+# Shows that each guarantee fails with its mechanism off and holds with it on; docs/PROOFS.md lists what is proved.
+prove:
+	scripts/prove
+
 tools: $(LINT)
 
 $(LINT):
--- a/internal/proof/request/fleet_test.go
+++ b/internal/proof/request/fleet_test.go
@@ -54,6 +54,8 @@
 	entries   []*entry.Entry
 	engines   []*fanout.Engine
 	links     links
+	adjust    func(*fanout.Engine)
+	deadline  time.Duration
 
 	// onStep, if set, is called whenever a request reaches a step.
 	onStep atomic.Pointer[func(step)]
@@ -122,9 +124,21 @@
 	<-p.done
 }
 
-// newFleet starts a fleet that is ready. Adjust changes the engine of each instance.
-func newFleet(seed uint64, adjust func(i int, e *fanout.Engine)) (*fleet, error) {
-	f := &fleet{timers: timer.New(), platform: platformstandin.New()}
+// option changes a fleet before its start.
+type option func(*fleet)
+
+// withEngine changes the engine of each instance.
+func withEngine(adjust func(*fanout.Engine)) option { return func(f *fleet) { f.adjust = adjust } }
+
+// withDeadline sets the deadline of the services for tests that must not end by it.
+func withDeadline(d time.Duration) option { return func(f *fleet) { f.deadline = d } }
+
+// newFleet starts a fleet that is ready.
+func newFleet(seed uint64, options ...option) (*fleet, error) {
+	f := &fleet{timers: timer.New(), platform: platformstandin.New(), deadline: deadline, adjust: func(*fanout.Engine) {}}
+	for _, o := range options {
+		o(f)
+	}
 	f.links.open = make(map[*link]struct{})
 	l, address := listen()
 	f.instances = append(f.instances, start(func(ctx context.Context) error { return f.platform.Serve(ctx, l) }))
@@ -140,6 +154,9 @@
 		p := start(func(ctx context.Context) error { return t.Serve(ctx, l) })
 		p.target = t
 		f.targets = append(f.targets, p)
+		if err := prime(targetAddress, at.shard); err != nil {
+			return f, err
+		}
 	}
 	if err := f.configure(address, replicas); err != nil {
 		return f, err
@@ -155,9 +172,7 @@
 		e, err := entry.New(settings, entry.WithSeed(seed+uint64(i)), entry.WithDialer(f.links.dial),
 			entry.WithEngine(func(engine *fanout.Engine) {
 				f.engines = append(f.engines, engine)
-				if adjust != nil {
-					adjust(i, engine)
-				}
+				f.adjust(engine)
 				f.watch(engine)
 			}))
 		if err != nil {
@@ -170,6 +185,19 @@
 	return f, f.awaitReady()
 }
 
+// prime sends a query to a target, whose reply a later query gets under the fault Misdirect.
+func prime(address netip.AddrPort, shard int) error {
+	body, err := json.Marshal(target.Query{RequestID: "earlier", AttemptID: "earlier", Service: "FullPage", Class: contract.FullPage,
+		Version: 1, Shard: shard, Shards: shards, Text: "earlier", Limit: 20, Timeout: duration.Duration(time.Second), Idempotent: true})
+	if err != nil {
+		return err
+	}
+	_, err = exchange(context.Background(), &http.Transport{DisableKeepAlives: true}, address, body,
+		func(int, []byte) error { return nil })
+
+	return err
+}
+
 func listen() (net.Listener, netip.AddrPort) {
 	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", loopback.String())
 	if err != nil {
@@ -183,12 +211,12 @@
 func (f *fleet) configure(address netip.AddrPort, replicas []contract.Replica) error {
 	service := func(class contract.Class, idempotent bool, minimum float64) contract.Service {
 		s := contract.Service{
-			Caller: "chattimala", Class: class, Deadline: duration.Duration(deadline), MinimumCoverage: minimum, Worth: 1,
+			Caller: "chattimala", Class: class, Deadline: duration.Duration(f.deadline), MinimumCoverage: minimum, Worth: 1,
 			ExtraLoad: 1, Idempotent: idempotent, PageSize: 20, Slots: 2, Connections: 8,
 			ConnectTime: duration.Duration(time.Millisecond), Replicas: replicas,
 		}
 		if class == contract.QuickMatch {
-			s.FirstUseful = duration.Duration(deadline / 3)
+			s.FirstUseful = duration.Duration(f.deadline / 3)
 		}
 
 		return s
@@ -218,7 +246,6 @@
 			ready = ready && e.Ready() == nil && len(e.Status().Members) == len(zones)
 		}
 		if ready {
-			// A reply meant for another request needs a query before it.
 			f.send(0, caller.Request{RequestID: "before", Service: "FullPage", Text: "before", Limit: 20})
 			for i := range f.entries {
 				f.send(i, caller.Request{RequestID: fmt.Sprint("first-", i), Service: "OneRecord", Key: standin.Key(i), Limit: 1})
--- a/internal/proof/request/judge_test.go
+++ b/internal/proof/request/judge_test.go
@@ -99,20 +99,23 @@
 	slices.SortFunc(want, func(x, y target.Hit) int {
 		return cmp.Or(cmp.Compare(y.Score, x.Score), cmp.Compare(x.Key, y.Key))
 	})
-	want = want[:min(len(want), t.request.Limit)]
-	if !slices.Equal(a.Hits, want) {
-		fault(t, mixed(a.Hits, a.Snapshot.Version), "the hits are not those of the covered shards of version %d, want %+v",
-			a.Snapshot.Version, want)
+	if best := want[:min(len(want), t.request.Limit)]; !slices.Equal(a.Hits, best) {
+		fault(t, violated(a.Hits, want, a.Snapshot.Version), "the hits are not those of the covered shards of version %d, want %+v",
+			a.Snapshot.Version, best)
 	}
 }
 
-// mixed returns the guarantee that wrong hits violate: 4 if some come from another version.
-func mixed(hits []target.Hit, version uint64) int {
+// violated returns the guarantee that wrong hits violate: 4 if some come from another version, 5 if all come from the covered
+// shards but some are absent, and otherwise 3.
+func violated(hits, covered []target.Hit, version uint64) int {
 	for _, h := range hits {
-		if h.Body != standin.Record(version, h.Key).Body {
+		switch {
+		case h.Body != standin.Record(version, h.Key).Body:
 			return 4
+		case !slices.Contains(covered, h):
+			return 3
 		}
 	}
 
-	return 3
+	return 5
 }
--- a/internal/proof/request/matrix_test.go
+++ b/internal/proof/request/matrix_test.go
@@ -89,6 +89,15 @@
 	{name: "lease lapsed", last: writing, on: func(f *fleet, _ []int, _ step) { f.platform.LapseLeases() }},
 }
 
+// possibleCells counts the cells of the matrix that run.
+func possibleCells() (n int) {
+	for _, f := range faults {
+		n += int(f.last) + 1
+	}
+
+	return n
+}
+
 func at(fault standin.Fault) func(*fleet, []int, step) {
 	return func(f *fleet, scope []int, _ step) {
 		for _, i := range scope {
@@ -169,7 +178,7 @@
 )
 
 func prepare(key uint64) func() (*fleet, error) {
-	once, known := prepared.LoadOrStore(key, sync.OnceValues(func() (*fleet, error) { return newFleet(seed^key<<8, nil) }))
+	once, known := prepared.LoadOrStore(key, sync.OnceValues(func() (*fleet, error) { return newFleet(seed ^ key<<8) }))
 	if !known {
 		go func() { _, _ = once.(func() (*fleet, error))() }()
 	}
