Hedge a shard twice

Cause: with 5% stragglers, one page of 20 shards in 20 has a shard whose first attempt and hedge are both stragglers, and two replicas allowed no third attempt. Its page ran until the deadline. Change: a second hedge after the same delay, which may repeat a replica. Flights of a shard are a list without gaps. The fixed policy keeps one hedge.

--- a/internal/query/fanout/fanout.go
+++ b/internal/query/fanout/fanout.go
@@ -76,6 +76,8 @@
 	HedgeDelay  func(service string) (time.Duration, bool)
 	HedgeSpend  func(service string, n int) bool
 	HedgeQuorum func(shards int) int
+	// Hedges replaces the largest number of hedges of a shard, which is maxHedges and cannot be more. Optional.
+	Hedges func() int
 	// FirstAnswer replaces the time after which a QuickMatch query answers with what it has. Optional.
 	FirstAnswer func(s *contract.Service) time.Duration
 	// Log is optional.
@@ -272,6 +274,15 @@
 	return ((shards-1)*4 + 4) / 5
 }
 
+// hedges returns the largest number of hedges of a shard.
+func (e *Engine) hedges() int {
+	if e.Hedges != nil {
+		return min(e.Hedges(), maxHedges)
+	}
+
+	return maxHedges
+}
+
 // firstAnswer returns the time after which a request of s answers with what it has.
 func (e *Engine) firstAnswer(s *contract.Service) time.Duration {
 	if e.FirstAnswer != nil {
--- a/internal/query/fanout/fanout_test.go
+++ b/internal/query/fanout/fanout_test.go
@@ -315,6 +315,21 @@
 		Eventually(cancelled).Should(BeClosed())
 	})
 
+	It("hedges again when the hedge is a straggler too, so that few replicas do not leave a shard out", func() {
+		b := newBench()
+		b.script = shard0(stall(target.Unknown), stall(target.Unknown), reply)
+		answer, refusal := b.during(func(func()) {
+			b.waiting(2)
+			b.clock.Advance(11 * time.Millisecond)
+			Eventually(b.sent).Should(Equal(6))
+			b.waiting(2)
+			b.clock.Advance(11 * time.Millisecond)
+		})
+		Expect(refusal).To(BeNil())
+		Expect(answer.Coverage.Whole).To(BeTrue())
+		Expect(b.engine.Statistics()).To(Equal(fanout.Statistics{Attempts: 7, Hedges: 2, HedgeWins: 1}))
+	})
+
 	It("sends no hedge that the budget does not pay for, and answers partially at the deadline", func() {
 		b := newBench()
 		b.script = shard0(stall(target.Unknown))
--- a/internal/query/fanout/query.go
+++ b/internal/query/fanout/query.go
@@ -65,10 +65,10 @@
 	replicas []contract.Replica
 	state    state
 	hits     []target.Hit
-	// flights are the attempts in flight: one, and a second one while it is hedged.
-	flights [2]*flight
-	// hedged is true once a hedge was sent or denied. A denied hedge is not asked for again.
-	hedged bool
+	// flights are the attempts in flight without gaps, the latest one last: one, and more while it is hedged.
+	flights [1 + maxHedges]*flight
+	// hedges counts the hedges that were sent. It is maxHedges once one was denied, because it is not asked for again.
+	hedges int
 	// unavailable is true when some replica refused the version.
 	unavailable bool
 	// tried lists the replicas that were asked. Its first entries need no allocation.
@@ -76,6 +76,10 @@
 	inline [2]netip.AddrPort
 }
 
+// maxHedges bounds the hedges of a shard. With 5% stragglers, one page of 20 shards in 20 has a shard whose first attempt and
+// hedge are both stragglers, so that a second hedge decides its 99th percentile.
+const maxHedges = 2
+
 type state uint8
 
 const (
@@ -218,11 +222,7 @@
 	f.query, f.round, f.shard, f.replica, f.kind, f.started, f.timeout = q, q.round, s, replica, k, now, timeout
 	f.ctx.Context = q.ctx
 	s.tried = append(s.tried, replica.Address)
-	if s.flights[0] == nil {
-		s.flights[0] = f
-	} else {
-		s.flights[1] = f
-	}
+	s.flights[slices.Index(s.flights[:], nil)] = f
 	q.inFlight++
 	q.round.sent++
 	q.engine.counters.attempts.Add(1)
@@ -316,10 +316,10 @@
 	if f.outcome == target.NotRun && f.code == target.VersionUnavailable {
 		s.unavailable = true
 	}
-	if s.flights[0] == f {
-		s.flights[0] = s.flights[1]
+	if i := slices.Index(s.flights[:], f); i >= 0 {
+		copy(s.flights[i:], s.flights[i+1:])
+		s.flights[maxHedges] = nil
 	}
-	s.flights[1] = nil
 	if s.flights[0] != nil {
 		return
 	}
@@ -418,15 +418,18 @@
 		return
 	}
 	var next time.Time
+	limit := q.engine.hedges()
 	for i := range r.shards {
 		s := &r.shards[i]
-		if s.state != open || s.hedged {
+		if s.state != open || s.hedges >= limit {
 			continue
 		}
-		due := s.flights[0].started.Add(r.delay)
+		due := s.latest().started.Add(r.delay)
 		if !now.Before(due) {
-			q.second(s, now)
-		} else if next.IsZero() || due.Before(next) {
+			q.another(s, now)
+			due = now.Add(r.delay)
+		}
+		if s.hedges < limit && (next.IsZero() || due.Before(next)) {
 			next = due
 		}
 	}
@@ -439,15 +442,35 @@
 	}
 }
 
-// second sends a hedge for s if there are time, another replica and a token.
-func (q *query) second(s *shard, now time.Time) {
+// latest returns the attempt of an open shard that was sent last.
+func (s *shard) latest() *flight {
+	last := s.flights[0]
+	for _, f := range s.flights[1:] {
+		if f != nil {
+			last = f
+		}
+	}
+
+	return last
+}
+
+// another sends a hedge for s if there are time, a replica and a token. The second hedge may go to a replica that was asked
+// before, because a shard has few replicas and a straggler is mostly slow by itself and not
+// because of its replica.
+func (q *query) another(s *shard, now time.Time) {
 	e := q.engine
-	s.hedged = true
+	sent := s.hedges
+	s.hedges = maxHedges
 	timeout := e.timeout(q.end, now)
 	if timeout < minimumTimeout {
 		return
 	}
-	if replica, ok := q.choose(s); ok && e.hedgeSpend(q.request.Service, 1) {
+	replica, ok := q.choose(s)
+	if !ok && sent > 0 {
+		replica, ok = e.Choose(s.replicas, nil)
+	}
+	if ok && e.hedgeSpend(q.request.Service, 1) {
+		s.hedges = sent + 1
 		e.counters.hedges.Add(1)
 		q.start(&flight{id: q.attemptIDs(1)[0]}, s, replica, hedged, now, timeout)
 	}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -239,6 +239,7 @@
 	case HedgingFixed:
 		e.engine.HedgeDelay = func(string) (time.Duration, bool) { return e.settings.HedgeDelay, true }
 		e.engine.HedgeQuorum = func(int) int { return 0 }
+		e.engine.Hedges = func() int { return 1 }
 	}
 	if e.settings.FreeHedges {
 		e.engine.HedgeSpend = func(string, int) bool { return true }
