Keep an ended call's context from failing the next call to a peer

Cause: drpc watches the context of a call for a moment after the call has returned. The client released the connection and then ended the context of its timeout, and callers end theirs as well. When the next call had begun on the connection by then, it failed with "context canceled" as not reached, and dispatch passed over a healthy owner for 1 s.

Change: a call runs on a context of its own, which follows the caller's only until the call returns.

BenchmarkClient also reports the bytes of a round trip now.

--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -253,7 +253,7 @@
 		return false, err
 	}
 	written, read := l.transport.written.Load(), l.transport.read.Load()
-	err = l.conn.Invoke(ctx, rpc, encoding{}, encoded(data), out)
+	err = l.invoke(ctx, rpc, encoded(data), out)
 	handed = l.transport.written.Load() != written
 
 	keep := true
@@ -287,7 +287,7 @@
 		transport: transport,
 		conn:      drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions(0)}),
 	}
-	if err := l.conn.Invoke(ctx, rpcHello, encoding{}, &hello{Sender: c.sender}, &done{}); err != nil {
+	if err := l.invoke(ctx, rpcHello, &hello{Sender: c.sender}, &done{}); err != nil {
 		_ = l.conn.Close()
 
 		return nil, err
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,6 +132,28 @@
 		Expect(r.dials.Load()).To(BeEquivalentTo(1))
 	})
 
+	It("does not lose a call to the end of an earlier call's context on the same connection", func() {
+		r := newRig(relay(answer))
+		var running sync.WaitGroup
+		var failed atomic.Pointer[error]
+		for range 16 {
+			running.Go(func() {
+				for range 1000 {
+					ctx, cancel := context.WithCancel(context.Background())
+					_, err := r.client.Relay(ctx, r.address, newAttempt())
+					cancel()
+					if err != nil {
+						failed.Store(&err)
+					}
+				}
+			})
+		}
+		running.Wait()
+		if err := failed.Load(); err != nil {
+			Fail((*err).Error())
+		}
+	})
+
 	DescribeTable("reports what the peer says, and Unknown for what it leaves open",
 		func(reply target.Reply, failure error, outcome target.Outcome, code target.Code) {
 			r := newRig(relay(func(context.Context, peer.Sender, attempt.Attempt) (target.Reply, error) { return reply, failure }))
--- a/internal/wire/target/benchmark_test.go
+++ b/internal/wire/target/benchmark_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -16,7 +18,8 @@
 // BenchmarkClient measures round trips of the client over loopback. The processor time includes a server that decodes the
 // query and encodes the reply.
 func BenchmarkClient(b *testing.B) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	var wire atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
 			_ = json.NewEncoder(w).Encode(target.Report{Incarnation: 1, Service: "payout", Slots: 2,
 				Holdings: []target.Holding{{Version: 7, Shard: 1, Shards: 3}, {Version: 8, Shard: 1, Shards: 3}}})
@@ -35,6 +38,8 @@
 		}
 		_ = json.NewEncoder(w).Encode(reply)
 	}))
+	server.Listener = countingListener{server.Listener, &wire}
+	server.Start()
 	defer server.Close()
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
 	client := target.NewClient(timer.New())
@@ -56,7 +61,7 @@
 	} {
 		b.Run(call.name, func(b *testing.B) {
 			b.ReportAllocs()
-			before := processorTime()
+			before, bytes := processorTime(), wire.Load()
 			b.RunParallel(func(p *testing.PB) {
 				for p.Next() {
 					if err := call.run(context.Background()); err != nil {
@@ -65,10 +70,42 @@
 				}
 			})
 			b.ReportMetric(float64(processorTime()-before)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(wire.Load()-bytes)/float64(b.N), "wire-B/op")
 		})
 	}
 }
 
+// countingListener counts the bytes of all connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+
+	return countingConn{conn, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
+func (c countingConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+
+	return n, err
+}
+
 func processorTime() int64 {
 	var usage syscall.Rusage
 	// Getrusage fails only for a wrong argument.
