Remember the owners of each target until the live instances change

Cause: the dispatcher ranks the instances of a target's zone for every attempt: docs/CAPACITY.md puts that at half a core of an instance at the expected size. Change: ownership.Cache keeps the first 8 owners of each target for one list of live instances, which membership replaces at each change. Ruled out: a smaller ranking (it still grows with the zone).

--- a/internal/fleet/ownership/benchmark_test.go
+++ b/internal/fleet/ownership/benchmark_test.go
@@ -15,17 +15,30 @@
 func BenchmarkOwners(b *testing.B) {
 	for _, size := range []struct{ instances, zones int }{{8, 3}, {32, 3}, {128, 9}, {450, 9}} {
 		b.Run(fmt.Sprintf("Instances=%d/Zones=%d", size.instances, size.zones), func(b *testing.B) {
-			var live []instance.Instance
-			for i := range size.instances {
-				live = append(live, instance.Instance{
-					Name: fmt.Sprintf("hickorynotch-%06x-%04d", 1, i), AvailabilityZone: zone.Zone(fmt.Sprintf("zone%d", i%size.zones)),
-				})
-			}
-			replica := contract.Replica{Address: netip.MustParseAddrPort("10.0.0.1:7000"), AvailabilityZone: "zone0"}
+			live, replica := fleetOf(size.instances, size.zones)
 			b.ReportAllocs()
 			for b.Loop() {
 				ownership.Owners(replica, live)
 			}
 		})
+		b.Run(fmt.Sprintf("Cached/Instances=%d/Zones=%d", size.instances, size.zones), func(b *testing.B) {
+			live, replica := fleetOf(size.instances, size.zones)
+			var cache ownership.Cache
+			b.ReportAllocs()
+			for b.Loop() {
+				cache.Owners(replica, live)
+			}
+		})
 	}
 }
+
+func fleetOf(instances, zones int) ([]instance.Instance, contract.Replica) {
+	var live []instance.Instance
+	for i := range instances {
+		live = append(live, instance.Instance{
+			Name: fmt.Sprintf("hickorynotch-%06x-%04d", 1, i), AvailabilityZone: zone.Zone(fmt.Sprintf("zone%d", i%zones)),
+		})
+	}
+
+	return live, contract.Replica{Address: netip.MustParseAddrPort("10.0.0.1:7000"), AvailabilityZone: "zone0"}
+}
--- a/internal/fleet/ownership/ownership_test.go
+++ b/internal/fleet/ownership/ownership_test.go
@@ -92,6 +92,18 @@
 		}
 	})
 
+	It("is remembered until the live instances change, so that a failed owner is not asked for ever", func() {
+		live, replica := fleetOf(12, 1)
+		var cache ownership.Cache
+		for range 2 {
+			Expect(cache.Owners(replica, live)).To(Equal(ownership.Owners(replica, live)[:ownership.MaxOwners]))
+		}
+		owner := cache.Owners(replica, live)[0]
+		left := slices.DeleteFunc(slices.Clone(live), func(i instance.Instance) bool { return i.Name == owner.Name })
+		Expect(cache.Owners(replica, left)).NotTo(ContainElement(owner))
+		Expect(cache.Owners(replica, nil)).To(BeEmpty())
+	})
+
 	It("leaves two instances with different views two owners only for targets of the members that differ", func() {
 		members := fleet(8)
 		stale := slices.Delete(slices.Clone(members), 3, 4)
--- a/internal/query/dispatch/dispatch.go
+++ b/internal/query/dispatch/dispatch.go
@@ -39,7 +39,7 @@
 
 // Functions are what a Dispatcher works with. All are required.
 type Functions struct {
-	// Live returns the instances in use, with this one.
+	// Live returns the instances in use, with this one. It returns another slice when they change.
 	Live func() []instance.Instance
 	// Local runs an attempt in this instance, with its slots and queue for the target.
 	Local func(ctx context.Context, a attempt.Attempt) (target.Reply, error)
@@ -61,6 +61,7 @@
 // Dispatcher runs attempts. It is safe for concurrent use.
 type Dispatcher struct {
 	self      string
+	owners    ownership.Cache
 	timers    *timer.Service
 	functions Functions
 
@@ -91,7 +92,7 @@
 func (d *Dispatcher) Do(ctx context.Context, a attempt.Attempt) (target.Reply, error) {
 	began := d.timers.Now()
 	relays := 0
-	for _, owner := range ownership.Owners(a.Replica, d.functions.Live()) {
+	for _, owner := range d.owners.Owners(a.Replica, d.functions.Live()) {
 		if owner.Name == d.self {
 			return d.run(ctx, a, began, 0, &d.local, d.functions.Local)
 		}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -74,6 +74,7 @@
 	peers    *peer.Client
 
 	members *membership.Membership
+	alone   []instance.Instance // this instance, for the variants without owners
 	keeper  *configuration.Keeper
 	spread  *configuration.Spread
 	watcher *configuration.Watcher
@@ -196,6 +197,7 @@
 		membership.WithOnPause(e.onPause),
 		membership.WithSeed(e.seed),
 		membership.WithLog(e.log))
+	e.alone = []instance.Instance{self}
 	e.spread = configuration.NewSpread(self, e.keeper, e.timers,
 		configuration.PeerCalls{Push: e.peers.Push, Configuration: e.peers.Configuration}, e.members.Live, e.seed)
 	e.watcher = configuration.NewWatcher(self, e.spread,
--- a/internal/run/entry/poll.go
+++ b/internal/run/entry/poll.go
@@ -144,5 +144,5 @@
 		return e.members.Live()
 	}
 
-	return []instance.Instance{e.members.Self()}
+	return e.alone
 }
