--- a/internal/proof/request/matrix_test.go
+++ b/internal/proof/request/matrix_test.go
@@ -80,6 +80,7 @@
 	{name: "reply doubled", last: unanswered, why: replied, on: at(standin.Fault{Duplicate: true})},
 	{name: "reply meant for another request", last: unanswered, why: replied, on: at(standin.Fault{Misdirect: true})},
 	{name: "load report wrong", last: writing, on: at(standin.Fault{WrongReport: true})},
+	{name: "index version withdrawn", last: writing, on: withdraw},
 	{name: "index version replaced", last: writing, on: hold(2, shards)},
 	{name: "shard repartitioned", last: writing, on: hold(3, 3)},
 	{name: "entry instance killed", last: writing, on: killInstance},
@@ -135,6 +136,13 @@
 	}
 }
 
+// withdraw leaves the targets without any version.
+func withdraw(f *fleet, scope []int, _ step) {
+	for _, i := range scope {
+		f.targets[i].target.SetHoldings()
+	}
+}
+
 // killInstance kills the instance that has the request, or the one that relays for it.
 func killInstance(f *fleet, scope []int, _ step) {
 	if len(scope) == len(layout) {
