Hold a drain against late replies, and read the list after a pause

A drain now lasts 2 s after its last report within one incarnation. After a pause an instance also reads the list of leaving targets again before it is ready.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -408,5 +408,9 @@
 		return
 	}
 	e.poll(ctx)
+	// The list lags and may be away, and the targets' own reports were read above, so its absence does not delay readiness.
+	if listed, err := e.platform.List(ctx); err == nil {
+		e.markLeaving(listed)
+	}
 	e.stale.Store(false)
 }
--- a/internal/world/snapshot/catalog.go
+++ b/internal/world/snapshot/catalog.go
@@ -30,6 +30,10 @@
 // this time the report that comes with the refusal would restore the version at once. It spans two status polls.
 const withdrawnFor = 2 * time.Second
 
+// drainingFor is the time for which a target that drains cannot be restored by its own reports. A reply that was on its way
+// when the drain began carries an older report, and deadlines are far below this time.
+const drainingFor = 2 * time.Second
+
 // Catalog knows what each target holds. It is safe for concurrent use.
 type Catalog struct {
 	timers *timer.Service
@@ -50,7 +54,9 @@
 	incarnation uint64
 	service     string
 	draining    bool
-	reported    []target.Holding
+	// drained is when the last report of a drain came.
+	drained  time.Time
+	reported []target.Holding
 	// usable is reported without duplicates, withdrawn versions and versions over MaxShards.
 	usable []target.Holding
 	// withdrawn holds, for each refused version, the time until which reports cannot restore it.
@@ -83,7 +89,7 @@
 }
 
 // Learn records what the target at address reported. Reports count in the order in which they arrive, and the last one
-// decides what the target holds and whether it drains.
+// decides what the target holds and whether it drains, except that a drain lasts for drainingFor after its last report.
 func (c *Catalog) Learn(address netip.AddrPort, report target.Report) {
 	now := c.timers.Now()
 	if c.refresh(address, &report, now) {
@@ -103,21 +109,31 @@
 		c.targets[address] = r
 	}
 	if r.incarnation != report.Incarnation {
-		r.withdrawn = nil
+		r.withdrawn, r.draining = nil, false
 	}
-	r.incarnation, r.service, r.draining = report.Incarnation, report.Service, report.Draining
+	r.drain(report.Draining, now)
+	r.incarnation, r.service = report.Incarnation, report.Service
 	r.reported = slices.Clone(report.Holdings)
 	r.seen.Store(now.UnixNano())
 	r.restore(now)
 	c.generation.Add(1)
 }
 
+func (r *record) drain(reported bool, now time.Time) {
+	if reported {
+		r.draining, r.drained = true, now
+
+		return
+	}
+	r.draining = r.draining && now.Sub(r.drained) < drainingFor
+}
+
 // refresh handles a report that says nothing new, as nearly all of them do, under the read lock.
 func (c *Catalog) refresh(address netip.AddrPort, report *target.Report, now time.Time) bool {
 	c.mutex.RLock()
 	defer c.mutex.RUnlock()
 	r := c.targets[address]
-	if r == nil || r.incarnation != report.Incarnation || r.draining != report.Draining || r.service != report.Service ||
+	if r == nil || r.incarnation != report.Incarnation || r.draining || report.Draining || r.service != report.Service ||
 		!slices.Equal(r.reported, report.Holdings) || (!r.recheck.IsZero() && !now.Before(r.recheck)) {
 		return false
 	}
--- a/internal/world/snapshot/catalog_test.go
+++ b/internal/world/snapshot/catalog_test.go
@@ -111,8 +111,14 @@
 			catalog.Learn(address(0), draining(1, true))
 			catalog.Learn(address(0), draining(2, false))
 		}),
+		Entry("drains, then an older reply of the same incarnation arrives late", 1, func() {
+			catalog.Learn(address(0), draining(1, true))
+			clock.Advance(time.Second)
+			catalog.Learn(address(0), draining(1, false))
+		}),
 		Entry("drains, then the same incarnation says otherwise", 2, func() {
 			catalog.Learn(address(0), draining(1, true))
+			clock.Advance(2 * time.Second)
 			catalog.Learn(address(0), draining(1, false))
 		}),
 		Entry("leaves by the list", 1, func() { catalog.MarkLeaving([]netip.AddrPort{address(0)}) }),
