--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,10 @@
 prove:
 	scripts/prove
 
+# Kills, pauses and outages with real processes; judged by the targets' journals.
+processes: build
+	scripts/processes
+
 tools: $(LINT)
 
 $(LINT):
