--- a/cmd/hickorynotch/serve.go
+++ b/cmd/hickorynotch/serve.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"log"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -104,6 +105,10 @@
 
 func (c *serveCommand) serve(ctx context.Context) error {
 	timers := timer.New()
+	events := event.New(c.errors, timers.Now)
+	// net/http reports broken connections and unsolicited replies to the standard log only.
+	log.SetFlags(0)
+	log.SetOutput(events.Writer(event.LibraryMessage))
 	e, err := entry.New(entry.Settings{
 		Name:             *c.name,
 		AvailabilityZone: *c.zone,
@@ -122,7 +127,7 @@
 		StopDelay:        *c.stopDelay,
 		StopTimeout:      *c.stopTimeout,
 		Profiling:        *c.profiling,
-	}, entry.WithTimers(timers), entry.WithLog(event.New(c.errors, timers.Now)))
+	}, entry.WithTimers(timers), entry.WithLog(events))
 	if err != nil {
 		return err
 	}
--- a/internal/policy/hedge/hedge.go
+++ b/internal/policy/hedge/hedge.go
@@ -6,10 +6,11 @@
 //	h.Observe("catalogue", 4*time.Millisecond)
 //	delay, ok := h.Delay("catalogue")
 //
-// Hedging every request that is slower than quantile q sends a second copy of 1-q of the requests. The delay is the 98th
+// Hedging every request that is slower than quantile q sends a second copy of 1-q of the requests. The delay is the 98.5th
 // percentile, which repeats few requests that were about to be answered, but at most 1.5 times the 90th percentile: when more
-// than one request in 50 is a straggler, the 98th percentile is the time of a straggler, while the 90th percentile holds up to one in 10. It is never below quantile 1-ExtraLoad, so
-// that hedges alone do not need more than the budget of the service gives, nor below the 95th percentile.
+// than one request in 66 is a straggler, the 98.5th percentile is the time of a straggler, while the 90th percentile holds up
+// to one in 10. The delay is never below quantile 1-ExtraLoad, so that hedges alone do not need more than the budget of the
+// service gives, nor below the 95th percentile.
 package hedge
 
 import (
@@ -25,8 +26,8 @@
 	// earliest is the lowest quantile that is hedged.
 	earliest = 0.95
 	// usual is the quantile that is hedged unless it exceeds sturdyFactor times the quantile sturdy. Log-normal service times
-	// with a spread of 0.3 to 0.5 have their 98th percentile at 1.26 to 1.47 times their 90th.
-	usual        = 0.98
+	// with a spread of 0.3 to 0.45 have their 98.5th percentile at 1.3 to 1.5 times their 90th.
+	usual        = 0.985
 	sturdy       = 0.90
 	sturdyFactor = 1.5
 	// The digest covers the last windows × period. It is long enough for a stable 95th percentile at 10 requests a second and
--- a/internal/policy/hedge/hedge_test.go
+++ b/internal/policy/hedge/hedge_test.go
@@ -36,13 +36,13 @@
 				Expect(delay).To(BeNumerically("~", want, want/50))
 			}
 		},
-		Entry("98th percentile", 0.05, 100, time.Duration(0), 98*time.Millisecond),
-		Entry("not earlier with more extra load", 0.5, 100, time.Duration(0), 98*time.Millisecond),
+		Entry("98.5th percentile", 0.05, 100, time.Duration(0), 98500*time.Microsecond),
+		Entry("not earlier with more extra load", 0.5, 100, time.Duration(0), 98500*time.Microsecond),
 		Entry("later with less extra load", 0.01, 100, time.Duration(0), 99*time.Millisecond),
 		Entry("never without extra load", 0.0, 100, time.Duration(0), none),
 		Entry("not with too few latencies", 0.05, 19, time.Duration(0), none),
 		Entry("not for an unknown service", 0.05, 0, time.Duration(0), none),
-		Entry("latencies within the window count", 0.05, 100, 7499*time.Millisecond, 98*time.Millisecond),
+		Entry("latencies within the window count", 0.05, 100, 7499*time.Millisecond, 98500*time.Microsecond),
 		Entry("latencies before the window do not", 0.05, 100, 10*time.Second, none),
 	)
 
--- a/internal/query/fanout/query.go
+++ b/internal/query/fanout/query.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/query/attempt"
-	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/wire/caller"
 	"github.com/hickorynotch/hickorynotch/internal/wire/target"
 	"github.com/hickorynotch/hickorynotch/internal/world/contract"
@@ -309,87 +308,6 @@
 	}
 }
 
-// recover handles a failed attempt: another one of the shard goes on, or the shard is asked again, or the query is
-// restarted, or the shard is missing.
-func (q *query) recover(f *flight, now time.Time, more bool) {
-	s := f.shard
-	if f.outcome == target.NotRun && f.code == target.VersionUnavailable {
-		s.unavailable = true
-	}
-	if i := slices.Index(s.flights[:], f); i >= 0 {
-		copy(s.flights[i:], s.flights[i+1:])
-		s.flights[maxHedges] = nil
-	}
-	if s.flights[0] != nil {
-		return
-	}
-	if !more || !q.again(f, now) {
-		q.miss(s)
-	}
-}
-
-// again sends the part of a failed attempt once more, if that does no harm and there are time, a replica and a token.
-func (q *query) again(f *flight, now time.Time) bool {
-	e := q.engine
-	if f.outcome != target.NotRun && !q.service.Idempotent {
-		return false
-	}
-	if f.code == target.BadQuery {
-		return false
-	}
-	timeout := e.timeout(q.end, now)
-	if timeout < minimumTimeout {
-		q.late = true
-
-		return false
-	}
-	replica, ok := q.choose(f.shard)
-	if !ok {
-		return f.shard.unavailable && q.restart(now)
-	}
-	if !e.Budget.Spend(q.request.Service, 1) {
-		return false
-	}
-	e.counters.retries.Add(1)
-	q.start(&flight{id: q.attemptIDs(1)[0]}, f.shard, replica, retry, now, timeout)
-
-	return true
-}
-
-// restart abandons the round for one on a newer snapshot, once, if that does no harm, covers more than the present round
-// still can, and the budget pays for the attempts that were wasted.
-func (q *query) restart(now time.Time) bool {
-	e, old := q.engine, q.round
-	if q.restarted || (!q.service.Idempotent && (q.touched || q.inFlight > 0)) {
-		return false
-	}
-	pin, ok := e.Pin(q.request.Service, *q.service, old.pin.Version)
-	if !ok || pin.Version <= old.pin.Version || !q.coversMore(pin) {
-		return false
-	}
-	if !e.Budget.Spend(q.request.Service, max(1, old.sent-old.notRun)) {
-		return false
-	}
-	q.restarted = true
-	e.counters.restarts.Add(1)
-	e.Log.Log(event.SnapshotRestarted, "RequestID", q.request.RequestID, "Service", q.request.Service,
-		"From", old.pin.Version, "To", pin.Version)
-	q.abandon()
-	q.begin(pin, now)
-
-	return true
-}
-
-// coversMore reports whether pin can cover more than the present round, in which one more shard is about to be missing.
-func (q *query) coversMore(pin snapshot.Pin) bool {
-	if q.service.Class == contract.OneRecord {
-		return len(pin.Replicas[shardOf(q.request.Key, pin.Shards())]) > 0
-	}
-	old := q.round
-
-	return pin.Coverage() > float64(old.answered+old.open-1)/float64(len(old.shards))
-}
-
 // miss gives up a shard.
 func (q *query) miss(s *shard) {
 	s.state = missing
@@ -410,72 +328,6 @@
 	}
 }
 
-// hedge sends a second copy of the attempts that are late. It waits until 80% of the other shards have answered, because
-// before that the service as a whole is slow and more load does not help. A query of one shard has no others to wait for.
-func (q *query) hedge(now time.Time, more bool) {
-	r := q.round
-	if !more || !r.hedging || r.open == 0 || r.answered < q.engine.hedgeQuorum(len(r.shards)) {
-		return
-	}
-	var next time.Time
-	limit := q.engine.hedges()
-	for i := range r.shards {
-		s := &r.shards[i]
-		if s.state != open || s.hedges >= limit {
-			continue
-		}
-		due := s.latest().started.Add(r.delay)
-		if !now.Before(due) {
-			q.another(s, now)
-			due = now.Add(r.delay)
-		}
-		if s.hedges < limit && (next.IsZero() || due.Before(next)) {
-			next = due
-		}
-	}
-	if !next.IsZero() && !next.Equal(r.hedgeAt) {
-		if r.stop != nil {
-			r.stop()
-		}
-		r.hedgeAt = next
-		r.stop = q.engine.Timers.AfterFunc(next.Sub(now), q.queue.signal)
-	}
-}
-
-// latest returns the attempt of an open shard that was sent last.
-func (s *shard) latest() *flight {
-	last := s.flights[0]
-	for _, f := range s.flights[1:] {
-		if f != nil {
-			last = f
-		}
-	}
-
-	return last
-}
-
-// another sends a hedge for s if there are time, a replica and a token. The second hedge may go to a replica that was asked
-// before, because a shard has few replicas and a straggler is mostly slow by itself and not
-// because of its replica.
-func (q *query) another(s *shard, now time.Time) {
-	e := q.engine
-	sent := s.hedges
-	s.hedges = maxHedges
-	timeout := e.timeout(q.end, now)
-	if timeout < minimumTimeout {
-		return
-	}
-	replica, ok := q.choose(s)
-	if !ok && sent > 0 {
-		replica, ok = e.Choose(s.replicas, nil)
-	}
-	if ok && e.hedgeSpend(q.request.Service, 1) {
-		s.hedges = sent + 1
-		e.counters.hedges.Add(1)
-		q.start(&flight{id: q.attemptIDs(1)[0]}, s, replica, hedged, now, timeout)
-	}
-}
-
 // conclude cancels what is in flight and returns an answer if the replies make one. The query is over when its context was
 // done before all shards were settled, and gone when that was because of the caller.
 func (q *query) conclude(now time.Time, over, gone bool) (caller.Answer, *caller.Refusal) {
