Count bounds, relays and admission in the metrics

Cause: the bounds of the owners' queues and of connections to a target had callbacks without a user, and relays and admission were counted but not shown. The instrument for extra requests had no user and is removed; hedges, retries and restarts have gauges.

Measured: go vet and lint pass; the names were read from GET /metrics of an instance that ran the steps of README by hand, which all worked.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -145,6 +145,8 @@
 		admission.WithRunning(e.settings.Running),
 		admission.WithInstances(func() int { return len(e.members.Live()) }))
 	e.slots = slots.NewTable(e.timers, slots.WithVariant(e.variant()), slots.WithLog(e.log))
+	e.slots.OnBound = func(name string) { e.metrics.BoundReached(context.Background(), "slots."+name) }
+	e.targets.OnBound = func(netip.AddrPort) { e.metrics.BoundReached(context.Background(), "target.Connections") }
 	// The owner sees a delay before the reply brings it to the instance that accepted the request, and it alone sees that of
 	// attempts which the queue refuses.
 	e.slots.OnDelay = e.observeDelay
@@ -343,6 +345,16 @@
 			func() float64 { return float64(e.engine.Statistics().Restarts) }},
 		{"hickorynotch.target.mismatches", "Replies discarded because they belong to another attempt.",
 			func() float64 { return float64(e.engine.Statistics().Mismatches) }},
+		{"hickorynotch.relays.sent", "Target requests relayed to the owner of their target.",
+			func() float64 { return float64(e.dispatcher.Counts().Relayed) }},
+		{"hickorynotch.relays.handled", "Target requests run here for a peer.",
+			func() float64 { return float64(e.dispatcher.Counts().Handled) }},
+		{"hickorynotch.admission.queued", "Requests of callers that wait for admission.",
+			func() float64 { return float64(e.admission.Stats().Queued) }},
+		{"hickorynotch.admission.shed", "Requests refused by a worth threshold since the start.",
+			func() float64 { return float64(e.admission.Stats().Shed) }},
+		{"hickorynotch.bound.admission", "Requests refused because a queue of admission was full.",
+			func() float64 { return float64(e.admission.Stats().QueueFull) }},
 		{"hickorynotch.bound.links", "Targets that found no place in the table of links.",
 			func() float64 { return float64(e.links.Full()) }},
 		{"hickorynotch.bound.members", "Members that found no place in the member table.",
--- a/internal/run/metric/metric.go
+++ b/internal/run/metric/metric.go
@@ -47,7 +47,6 @@
 	coverage otel.Float64Histogram
 	attempts otel.Float64Histogram
 	worth    otel.Float64Counter
-	extra    otel.Int64Counter
 	bounds   otel.Int64Counter
 }
 
@@ -90,10 +89,6 @@
 		otel.WithDescription("Declared worth of requests, by caller, class and result.")); err != nil {
 		return err
 	}
-	if s.extra, err = s.meter.Int64Counter("hickorynotch.target.extra",
-		otel.WithDescription("Target requests beyond the first for a shard, by service and kind (Hedge, Retry, Restart).")); err != nil {
-		return err
-	}
 	s.bounds, err = s.meter.Int64Counter("hickorynotch.bound.reached",
 		otel.WithDescription("How often a queue, pool or map was at its bound, by name."))
 
@@ -141,14 +136,6 @@
 		otel.WithAttributes(attribute.String("service", service), attribute.String("result", result)))
 }
 
-// Extra records a target request beyond the first for its shard.
-func (s *Set) Extra(ctx context.Context, service, kind string) {
-	if s == nil {
-		return
-	}
-	s.extra.Add(ctx, 1, otel.WithAttributes(attribute.String("service", service), attribute.String("kind", kind)))
-}
-
 // BoundReached records that the named queue, pool or map was at its bound.
 func (s *Set) BoundReached(ctx context.Context, name string) {
 	if s == nil {
