--- a/internal/wire/platform/client.go
+++ b/internal/wire/platform/client.go
@@ -304,10 +304,15 @@
 	defer stopTimer()
 
 	// An idle connection that the platform closed says nothing about the platform, so a request that was not touched
-	// is sent once more on another connection.
-	again, err := c.attempt(detached, call, body)
-	if again && detached.Err() == nil {
-		_, err = c.attempt(detached, call, body)
+	// is sent once more on another connection. After an outage all idle connections can be closed.
+	var (
+		again bool
+		err   error
+	)
+	for range maxIdleConnections + 1 {
+		if again, err = c.attempt(detached, call, body); !again || detached.Err() != nil {
+			break
+		}
 	}
 
 	return err
