Wait in the stand-in target's tests until the listener is served

Cause: the test of refused connections set its fault while the goroutine of Serve could still be waiting to run. The port then went away with the client's connection in the backlog of the kernel, which resets it, so the client rightly said "unknown" where the test asks for "not run". Ruled out: another process that takes the port, and a connection of the client to itself (net refuses those).

Change: Target.Serving tells that Serve has taken its listener, and the tests wait for it. What they ask for is unchanged.

--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -50,6 +50,11 @@
 	return mux
 }
 
+// Serving returns a channel that is closed once Serve has taken its listener.
+func (t *Target) Serving() <-chan struct{} {
+	return t.serving
+}
+
 // Serve serves connections from l until ctx is done. It then refuses queries as draining for the grace time and closes
 // all connections. A Target serves one listener.
 func (t *Target) Serve(ctx context.Context, l net.Listener) (err error) {
@@ -63,6 +68,7 @@
 	if err := wrapped.refuse(refused); err != nil {
 		return err
 	}
+	close(t.serving)
 	server := &http.Server{
 		Handler:           t.Handler(),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -66,6 +66,7 @@
 	waiting  []chan struct{} // bounded by queue
 	previous wire.Query      // the query before this one, for misdirected replies
 	journal  journal
+	serving  chan struct{}      // closed once listener is set
 	conns    map[*conn]struct{} // bounded by the open files of the process
 	listener *listener
 }
@@ -144,6 +145,7 @@
 		random:      rand.New(rand.NewPCG(1, 1)),
 		keys:        make(map[part][]string),
 		journal:     journal{bound: defaultJournal},
+		serving:     make(chan struct{}),
 		conns:       make(map[*conn]struct{}),
 	}
 	for _, option := range options {
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -56,6 +56,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- b.target.Serve(ctx, listener) }()
+	// A port that is closed before Serve has taken the listener resets the connections in its backlog, which a client
+	// cannot tell from a request that was read.
+	Eventually(b.target.Serving()).Should(BeClosed())
 	b.client = wire.NewClient(timers)
 	DeferCleanup(func() {
 		cancel()
