Start the stand-in platform and read configuration files in one place

Cause: three test suites and the proofs each opened a port, served the stand-in platform and waited for its end in lines of their own, and check and apply each declared the flags of base file and overlays.

Change: Platform.Start serves on a port of the system's choice and returns how to stop; configurationFiles holds the flags and the loading for both commands. No test asks for less than before.

--- a/cmd/hickorynotch/apply.go
+++ b/cmd/hickorynotch/apply.go
@@ -32,8 +32,7 @@
 	out, errors io.Writer
 	settings    *setting.Set
 	platform    *netip.AddrPort
-	base        *string
-	overlays    []string
+	files       configurationFiles
 	operator    *string
 	id          *string
 	from        *int
@@ -58,26 +57,19 @@
 func (c *applyCommand) SetFlags(flags *flag.FlagSet) {
 	c.settings = setting.New(flags)
 	c.platform = c.settings.AddrPort("platform", netip.AddrPort{}, "address of the platform's services", setting.Required())
-	c.base = c.settings.String("base", "", "base file, YAML or JSON", setting.Required())
+	c.files.setFlags(c.settings, flags)
 	c.operator = c.settings.String("operator", "", "name of the operator, kept in the history", setting.Required())
 	c.id = c.settings.String("id", "", "ApplyID of an earlier run whose outcome is unknown")
 	c.from = c.settings.Int("from", 0, 0, 1<<31-1, "revision that the files were made from; 0 for whatever is accepted")
 	c.timeout = c.settings.Duration("timeout", 30*time.Second, time.Second, 10*time.Minute, "longest time to settle the outcome")
-	flags.Func("overlay", "overlay file, whose name is the zone, or ZONE=FILE; may be repeated", func(text string) error {
-		c.overlays = append(c.overlays, text)
-
-		return nil
-	})
 }
 
 func (c *applyCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if !resolve(c.errors, c.settings, flags) {
 		return subcommands.ExitUsageError
 	}
-	files, err := contract.Load(*c.base, c.overlays...)
-	if err != nil {
-		_, _ = fmt.Fprintln(c.errors, err)
-
+	files, ok := c.files.load(c.errors)
+	if !ok {
 		return subcommands.ExitFailure
 	}
 	timers := timer.New()
--- a/cmd/hickorynotch/check.go
+++ b/cmd/hickorynotch/check.go
@@ -13,15 +13,13 @@
 	"sigs.k8s.io/yaml"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/setting"
-	"github.com/hickorynotch/hickorynotch/internal/world/contract"
 )
 
 // checkCommand merges and checks configuration files without a platform.
 type checkCommand struct {
 	out, errors io.Writer
 	settings    *setting.Set
-	base        *string
-	overlays    []string
+	files       configurationFiles
 }
 
 func newCheckCommand() *checkCommand {
@@ -39,22 +37,15 @@
 
 func (c *checkCommand) SetFlags(flags *flag.FlagSet) {
 	c.settings = setting.New(flags)
-	c.base = c.settings.String("base", "", "base file, YAML or JSON", setting.Required())
-	flags.Func("overlay", "overlay file, whose name is the zone, or ZONE=FILE; may be repeated", func(text string) error {
-		c.overlays = append(c.overlays, text)
-
-		return nil
-	})
+	c.files.setFlags(c.settings, flags)
 }
 
 func (c *checkCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if !resolve(c.errors, c.settings, flags) {
 		return subcommands.ExitUsageError
 	}
-	files, err := contract.Load(*c.base, c.overlays...)
-	if err != nil {
-		_, _ = fmt.Fprintln(c.errors, err)
-
+	files, ok := c.files.load(c.errors)
+	if !ok {
 		return subcommands.ExitFailure
 	}
 	for _, z := range slices.Sorted(maps.Keys(files.Merged)) {
--- a/internal/fleet/configuration/apply_test.go
+++ b/internal/fleet/configuration/apply_test.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
-	"net/netip"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -38,17 +36,9 @@
 		clock = clockwork.NewFakeClock()
 		timers := timer.New(timer.WithClock(clock))
 		store = standin.New(standin.WithTimers(timers))
-		var config net.ListenConfig
-		listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+		address, stop, err := store.Start()
 		Expect(err).NotTo(HaveOccurred())
-		serving, stop := context.WithCancel(context.Background())
-		served := make(chan error, 1)
-		go func() { served <- store.Serve(serving, listener) }()
-		DeferCleanup(func() {
-			stop()
-			Expect(<-served).To(Succeed())
-		})
-		address := netip.MustParseAddrPort(listener.Addr().String())
+		DeferCleanup(stop)
 		client = platform.NewClient(address, timers, platform.WithTimeout(24*time.Hour))
 		DeferCleanup(client.Close)
 		a = configuration.NewApplier(timers, configuration.WithApplierStore(client))
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"slices"
@@ -112,14 +111,11 @@
 	}
 	f.timers = timer.New(timer.WithClock(f.clock))
 	f.platform = standin.New(standin.WithTimers(f.timers))
-	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	address, stopPlatform, err := f.platform.Start()
 	Expect(err).NotTo(HaveOccurred())
-	f.address = netip.MustParseAddrPort(listener.Addr().String())
+	f.address = address
 	var stop context.CancelFunc
 	f.ctx, stop = context.WithCancel(context.Background())
-	served := make(chan error, 1)
-	go func() { served <- f.platform.Serve(f.ctx, listener) }()
 	for i := range size {
 		f.start(i, 1)
 	}
@@ -128,7 +124,7 @@
 			n.kill()
 		}
 		stop()
-		Expect(<-served).To(Succeed())
+		Expect(stopPlatform()).To(Succeed())
 		f.running.Wait()
 	})
 
--- a/internal/query/claim/claim_test.go
+++ b/internal/query/claim/claim_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -40,18 +38,10 @@
 		clock = clockwork.NewFakeClock()
 		timers := timer.New(timer.WithClock(clock))
 		store = standin.New(standin.WithTimers(timers))
-		var config net.ListenConfig
-		listener, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+		address, stop, err := store.Start()
 		Expect(err).NotTo(HaveOccurred())
-		serving, stop := context.WithCancel(context.Background())
-		served := make(chan error, 1)
-		go func() { served <- store.Serve(serving, listener) }()
-		DeferCleanup(func() {
-			stop()
-			Expect(<-served).To(Succeed())
-		})
+		DeferCleanup(stop)
 		// Calls end by cancellation in these tests and not by the client's timeout.
-		address := netip.MustParseAddrPort(listener.Addr().String())
 		client = platform.NewClient(address, timers, platform.WithTimeout(24*time.Hour))
 		DeferCleanup(client.Close)
 		one = claim.New(timers, claim.WithStore(client))
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -17,6 +17,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -112,6 +113,27 @@
 	return nil
 }
 
+// Start serves on a loopback port that the system chooses. The returned function stops serving and waits for the end.
+func (p *Platform) Start() (address netip.AddrPort, stop func() error, err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		cancel()
+
+		return netip.AddrPort{}, nil, err
+	}
+	served := make(chan error, 1)
+	go func() { served <- p.Serve(ctx, listener) }()
+
+	return netip.MustParseAddrPort(listener.Addr().String()), func() error {
+		cancel()
+
+		return <-served
+	}, nil
+}
+
 // Calls counts the calls that reached the stand-in. A watch is one call, however long it waits.
 type Calls struct {
 	Total          uint64
