Begin the proofs of the configuration once the watches are shared out

Cause of the "fails without: false" of TestProveSpreadByPeers: the fleet of a proof counted as started when all instances had the first revision. On a busy machine they did not all know each other by then, and an instance that knows of no other in its zone holds a watch of its own. All nine then had the second revision from the store, before the outage began, so the spread by peers was not needed. A print of the revisions in such runs showed that the second one was accepted and in force everywhere.

Change: the start also waits until all instances know each other and one watch a zone waits at the stand-in.

--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -134,11 +134,14 @@
 // unchanged is what instances are offered unless a proof rewrites it.
 func unchanged(_ *node, raw []byte) []byte { return raw }
 
-// newFleetAt returns a fleet that has a first revision in force.
+// newFleetAt returns a fleet that has a first revision in force and in which one instance of each zone holds the watch. An
+// instance that does not know of the others yet holds a watch of its own, and would get a new revision without its peers.
 func newFleetAt(size int, rewrite func(*node, []byte) []byte) *fleet {
 	f := newFleet(size, rewrite)
 	f.apply("first", `"one"`)
-	Expect(f.pass(5*time.Minute, func() bool { return f.settledAll() && f.agree(1) })).To(BeTrue(), "the fleet starts")
+	Expect(f.pass(5*time.Minute, func() bool {
+		return f.settledAll() && f.agree(1) && f.acquainted() && f.platform.Calls().Waiting == min(size, len(zones))
+	})).To(BeTrue(), "the fleet starts")
 
 	return f
 }
@@ -364,6 +367,13 @@
 	return record
 }
 
+// acquainted reports whether all instances know each other.
+func (f *fleet) acquainted() bool {
+	nodes := f.all()
+
+	return !slices.ContainsFunc(nodes, func(n *node) bool { return len(n.members.Live()) != len(nodes) })
+}
+
 // agree reports whether all running instances have the revision in force.
 func (f *fleet) agree(revision uint64) bool {
 	return !slices.ContainsFunc(f.all(), func(n *node) bool {
