Ask a replica again when old connections to all replicas broke

Cause: when something between an instance and the targets forgets all open connections, the attempts of a shard break on an old connection to each replica in turn, and the shard is missing although new connections work. Found through a proof that closes the targets' connections: an idempotent page ended with 0 of 2 shards.

Ruled out: repeating inside the client, which cannot know if the query is idempotent.

Change: an old connection that breaks closes the other idle ones to its target, as a stalled one does already. An idempotent shard without an untried replica asks the last one again, once and from the budget, if its attempt broke on a connection that had served others.

--- a/internal/query/fanout/fanout_test.go
+++ b/internal/query/fanout/fanout_test.go
@@ -199,6 +199,11 @@
 	}
 }
 
+// brokenReused is what an attempt gives whose connection had served others and broke.
+func brokenReused(context.Context, attempt.Attempt, int) (target.Reply, error) {
+	return target.Reply{}, &target.Failure{Outcome: target.Unknown, Code: target.Broken, Reused: true}
+}
+
 // stall gives nothing until it is cancelled, and then outcome. It waits on a derived context, as HTTP clients do.
 func stall(outcome target.Outcome) run {
 	return func(ctx context.Context, _ attempt.Attempt, _ int) (target.Reply, error) {
@@ -258,6 +263,8 @@
 		Entry("no *target.Failure, then a reply", shard0(func(context.Context, attempt.Attempt, int) (target.Reply, error) {
 			return target.Reply{}, errors.New("unforeseen")
 		}, reply), nil, 6, 0, uint64(7)),
+		Entry("old connections to both replicas break, then a reply", shard0(brokenReused, brokenReused, reply), nil, 7, 0, uint64(7)),
+		Entry("each connection breaks", shard0(brokenReused), nil, 7, 1, uint64(7)),
 		Entry("both replicas fail", shard0(fail(target.Unknown, target.Broken)), nil, 6, 1, uint64(7)),
 		Entry("a bad query is not repeated", shard0(fail(target.NotRun, target.BadQuery), reply), nil, 5, 1, uint64(7)),
 		Entry("budget closed", shard0(fail(target.NotRun, target.Shed), reply),
--- a/internal/query/fanout/flight.go
+++ b/internal/query/fanout/flight.go
@@ -23,11 +23,12 @@
 	timeout time.Duration
 	kind    kind
 
-	// The result: hits if replied, otherwise outcome and code.
+	// The result: hits if replied, otherwise outcome and code. reused says that it failed on a connection that had served others.
 	replied bool
 	hits    []target.Hit
 	outcome target.Outcome
 	code    target.Code
+	reused  bool
 
 	next *flight
 }
@@ -81,7 +82,7 @@
 	if !errors.As(err, &failure) {
 		return
 	}
-	f.code = failure.Code
+	f.code, f.reused = failure.Code, failure.Reused
 	if failure.Outcome != target.NotRun {
 		return
 	}
--- a/internal/query/fanout/query.go
+++ b/internal/query/fanout/query.go
@@ -70,6 +70,8 @@
 	hedges int
 	// unavailable is true when some replica refused the version.
 	unavailable bool
+	// renewed is true when a replica was asked again because its connection had broken.
+	renewed bool
 	// tried lists the replicas that were asked. Its first entries need no allocation.
 	tried  []netip.AddrPort
 	inline [2]netip.AddrPort
--- a/internal/query/fanout/recover.go
+++ b/internal/query/fanout/recover.go
@@ -45,6 +45,11 @@
 		return false
 	}
 	replica, ok := q.choose(f.shard)
+	if !ok && f.reused && !f.shard.renewed {
+		// An old connection that breaks says nothing about the replica. When something between the two ends forgets all open
+		// connections, those to all replicas break, and a new one works.
+		replica, ok, f.shard.renewed = f.replica, true, true
+	}
 	if !ok {
 		return f.shard.unavailable && q.restart(now)
 	}
--- a/internal/wire/target/client.go
+++ b/internal/wire/target/client.go
@@ -230,6 +230,10 @@
 	if err != nil {
 		failure = c.failed(ctx, address, used, started, err)
 		failure.Reused = reused
+		if reused && failure.Code == Broken {
+			// Whatever broke an old connection usually broke all that were open.
+			c.pool.closeUnproven(address, started)
+		}
 		stale = failure.Code == Unreachable && reused && ctx.Err() == nil
 
 		return 0, nil, stale, failure
--- a/internal/wire/target/client_test.go
+++ b/internal/wire/target/client_test.go
@@ -8,8 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,6 +117,42 @@
 		Expect(seen).To(HaveLen(2), "the second query must have been sent once")
 	})
 
+	It("dials after one of several old connections has broken, because the others are likely to break too", func(ctx SpecContext) {
+		together := make(chan struct{})
+		var arrived atomic.Int32
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var q target.Query
+			Expect(json.NewDecoder(r.Body).Decode(&q)).To(Succeed())
+			// Two queries at a time have a connection each.
+			if n := arrived.Add(1); n == 2 {
+				close(together)
+			} else if n == 3 {
+				panic(http.ErrAbortHandler)
+			}
+			<-together
+			_ = json.NewEncoder(w).Encode(replyTo(&q))
+		}))
+		DeferCleanup(server.Close)
+		var dials atomic.Int32
+		server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+			if s == http.StateNew {
+				dials.Add(1)
+			}
+		}
+		server.Start()
+		address := netip.MustParseAddrPort(server.Listener.Addr().String())
+		var both sync.WaitGroup
+		for range 2 {
+			both.Go(func() { _, _ = client.Query(ctx, address, query("first")) })
+		}
+		both.Wait()
+		_, err := client.Query(ctx, address, query("second"))
+		Expect(err).To(beFailure(target.Unknown, target.Broken))
+		_, err = client.Query(ctx, address, query("third"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(dials.Load()).To(BeEquivalentTo(3), "the idle connection must not be used")
+	})
+
 	It("does not start an attempt without time, and passes on the remaining time less the margin", func(ctx SpecContext) {
 		address, seen := serve(func(_ int, q *target.Query) string { return response(http.StatusOK, replyTo(q)) })
 		late, cancel := context.WithTimeout(ctx, target.HopMargin/2)
