Measure the control plane by the size of the record and of the list

The idle fleets of make bench-control had one replica, so that the bytes of the zone reader and of the list at the expected size were arithmetic. The number of replicas is now a second variable of the idle fleets, and what all instances receive from the platform for each change is counted. All replicas but one are in an overlay of a zone without instances: distinct replicas in the zones of the instances were ruled out, because their status polls would hide what is measured. Operators use a second listener, so that their bytes are not counted.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 bench-limits: build
 	scripts/bench limits
 
-# Measures the control plane of live instances over loopback, in under 3 minutes.
+# Measures the control plane of live instances over loopback, in under 6 minutes.
 bench-control: build
 	$(BIN)/benchcontrol live
 
--- a/cmd/benchcontrol/main.go
+++ b/cmd/benchcontrol/main.go
@@ -46,7 +46,7 @@
 	for part := range strings.SplitSeq(text, ",") {
 		n, err := strconv.Atoi(part)
 		if err != nil || n < 1 {
-			return fmt.Errorf("%q is not a number of instances", part)
+			return fmt.Errorf("%q is not a positive number", part)
 		}
 		*s = append(*s, n)
 	}
@@ -62,7 +62,7 @@
 func (*liveCommand) Name() string     { return "live" }
 func (*liveCommand) Synopsis() string { return "run instances over loopback sockets" }
 func (*liveCommand) Usage() string {
-	return "live [-sizes 2,4,8,16,32] [-applies 30] [-seed 1] [-timeout 170s]:\n" +
+	return "live [-sizes 2,4,8,16,32] [-replicas 1,3200] [-applies 30] [-seed 1] [-timeout 350s]:\n" +
 		"  Run instances over loopback sockets against the stand-in platform.\n" +
 		"  Exit status 1 means that a measurement failed, not that a target was missed.\n"
 }
@@ -70,9 +70,11 @@
 func (c *liveCommand) SetFlags(flags *flag.FlagSet) {
 	c.options.Sizes = []int{2, 4, 8, 16, 32}
 	flags.Var((*sizes)(&c.options.Sizes), "sizes", "numbers of instances")
+	c.options.Replicas = []int{1, 3200}
+	flags.Var((*sizes)(&c.options.Replicas), "replicas", "numbers of replicas in the configuration and on the list")
 	flags.IntVar(&c.options.Applies, "applies", 30, "changes for each size and state of the store")
 	flags.Uint64Var(&c.options.Seed, "seed", 1, "seed of all random choices")
-	flags.DurationVar(&c.timeout, "timeout", 170*time.Second, "longest time for the whole run")
+	flags.DurationVar(&c.timeout, "timeout", 350*time.Second, "longest time for the whole run")
 }
 
 func (c *liveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
--- a/internal/bench/control/fleet.go
+++ b/internal/bench/control/fleet.go
@@ -22,6 +22,9 @@
 
 var liveZones = []zone.Zone{"Kochi", "Thrissur", "Kozhikode"}
 
+// otherZone has replicas and no instances.
+const otherZone = zone.Zone("Kannur")
+
 // traffic counts the bytes that one side of connections wrote and read.
 type traffic struct {
 	written, read atomic.Uint64
@@ -111,13 +114,15 @@
 
 // liveFleet is a stand-in platform and entry instances in this process, on loopback.
 type liveFleet struct {
-	platform  *standin.Platform
-	address   netip.AddrPort
-	store     traffic
-	instances []*liveInstance
-	byPeer    map[netip.AddrPort]*liveInstance
-	wake      chan struct{}
-	stop      context.CancelFunc
+	platform *standin.Platform
+	address  netip.AddrPort
+	// operatorAddress is that of the same platform for operators, whose bytes are not counted.
+	operatorAddress netip.AddrPort
+	store           traffic
+	instances       []*liveInstance
+	byPeer          map[netip.AddrPort]*liveInstance
+	wake            chan struct{}
+	stop            context.CancelFunc
 }
 
 // startLive starts a fleet. It has no configuration yet.
@@ -136,6 +141,15 @@
 		return nil, err
 	}
 	f.address = netip.MustParseAddrPort(listener.Addr().String())
+	operators, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		_ = listener.Close()
+		stop()
+
+		return nil, err
+	}
+	f.operatorAddress = netip.MustParseAddrPort(operators.Addr().String())
+	go func() { _ = f.platform.Serve(ctx, operators) }()
 	// The end of the stand-in is seen by the instances' calls.
 	go func() { _ = f.platform.Serve(ctx, countedListener{Listener: listener, traffic: &f.store}) }()
 	for i := range size {
@@ -196,6 +210,19 @@
 	}}})
 }
 
+// listTargets puts live targets on the platform's list.
+func (f *liveFleet) listTargets(count int) error {
+	entries := make([]platform.Listed, 0, count)
+	for i := range count {
+		entries = append(entries, platform.Listed{
+			Name: fmt.Sprintf("service-%d-%d", i/300, i%300), Kind: platform.Target, AvailabilityZone: otherZone, State: platform.Live,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000),
+		})
+	}
+
+	return f.platform.UpdateList(standin.Update{Entries: entries})
+}
+
 // close stops all instances and waits for them.
 func (f *liveFleet) close() {
 	f.stop()
--- a/internal/bench/control/live.go
+++ b/internal/bench/control/live.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/netip"
 	"runtime"
+	"slices"
 	"sync"
 	"syscall"
 	"text/tabwriter"
@@ -19,6 +21,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/value/duration"
 	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
 	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
 )
 
 const (
@@ -28,6 +31,9 @@
 	// liveLimit bounds one wait for a revision. It is the limit of the expected size.
 	liveLimit = 14 * time.Second
 	slowStore = 500 * time.Millisecond
+	// changesCounted are the changes whose bytes are counted, and changeTime is the pause after each for late reads of it.
+	changesCounted = 3
+	changeTime     = 2 * time.Second
 	// shortPause is the longest pause between changes while the store is not slow.
 	shortPause = 200 * time.Millisecond
 	// inForceTarget is the time within which a change is in force at every one of inForceSize instances.
@@ -40,6 +46,9 @@
 // LiveOptions says what Live measures.
 type LiveOptions struct {
 	Sizes []int
+	// Replicas are the numbers of replicas in the configuration and on the platform's list, the second variable of the
+	// idle fleets. All but one are of a zone without instances, so that the status poll does not hide what is measured.
+	Replicas []int
 	// Applies is the number of changes for each size and state of the store.
 	Applies int
 	Seed    uint64
@@ -48,6 +57,7 @@
 // Idle is what a fleet uses when nothing happens.
 type Idle struct {
 	Instances int
+	Replicas  int
 	Window    duration.Duration
 	// StoreCalls and ListCalls are those of the whole fleet; a watch that waits is one call when it begins.
 	StoreCalls, ListCalls uint64
@@ -63,6 +73,8 @@
 	HeapBytes float64
 	// StackBytes is the memory of goroutine stacks.
 	StackBytes float64
+	// ChangeBytes is what all instances receive from the platform for each change, above the idle load.
+	ChangeBytes float64
 }
 
 // InForce is the time from accepted to in force at every instance, in one state of the store.
@@ -90,12 +102,14 @@
 	defer func() { err = Error.Wrap(err) }()
 
 	report = LiveReport{Kind: "Live", Seed: o.Seed, Cores: runtime.NumCPU()}
-	for _, size := range o.Sizes {
-		idle, err := measureIdle(ctx, size, o.Seed)
-		if err != nil {
-			return report, err
+	for _, replicas := range o.Replicas {
+		for _, size := range o.Sizes {
+			idle, err := measureIdle(ctx, size, replicas, o.Seed)
+			if err != nil {
+				return report, err
+			}
+			report.Idle = append(report.Idle, idle)
 		}
-		report.Idle = append(report.Idle, idle)
 	}
 	results := make([][]InForce, len(o.Sizes))
 	faults := make([]error, len(o.Sizes))
@@ -128,14 +142,19 @@
 	return m.HeapAlloc, m.StackInuse
 }
 
-func measureIdle(ctx context.Context, size int, seed uint64) (idle Idle, err error) {
+func measureIdle(ctx context.Context, size, replicas int, seed uint64) (idle Idle, err error) {
 	heap, stack := memory()
 	f, err := startLive(ctx, size, seed)
 	if err != nil {
 		return Idle{}, err
 	}
 	defer f.close()
-	if _, err := newOperator(f).apply(ctx); err != nil {
+	if err := f.listTargets(replicas); err != nil {
+		return Idle{}, err
+	}
+	operator := newOperator(f)
+	operator.replicas = replicas
+	if _, err := operator.apply(ctx); err != nil {
 		return Idle{}, err
 	}
 	if err := f.settle(ctx); err != nil {
@@ -154,6 +173,7 @@
 	each := func(count uint64) float64 { return float64(count) / window.Seconds() / float64(size) }
 	idle = Idle{
 		Instances:                    size,
+		Replicas:                     replicas,
 		Window:                       duration.Duration(window),
 		StoreCalls:                   storeCalls(after) - storeCalls(calls),
 		ListCalls:                    after.List - calls.List,
@@ -169,6 +189,18 @@
 	idle.HeapBytes = (float64(heapAfter) - float64(heap)) / float64(size)
 	idle.StackBytes = (float64(stackAfter) - float64(stack)) / float64(size)
 
+	received, began := f.store.written.Load(), time.Now()
+	for range changesCounted {
+		if _, err := operator.apply(ctx); err != nil {
+			return Idle{}, err
+		}
+		if err := sleep(ctx, changeTime); err != nil {
+			return Idle{}, err
+		}
+	}
+	background := time.Since(began).Seconds() * idle.PlatformBytesReceivedASecond * float64(size)
+	idle.ChangeBytes = (float64(f.store.written.Load()-received) - background) / changesCounted
+
 	return idle, nil
 }
 
@@ -190,14 +222,18 @@
 	fleet   *liveFleet
 	applier *configuration.Applier
 	applied int
+	// replicas is the number of replicas of each configuration. One of them is in the zones of the instances.
+	replicas int
 }
 
 func newOperator(f *liveFleet) *operator {
 	timers := timer.New()
 
 	return &operator{
-		fleet:   f,
-		applier: configuration.NewApplier(timers, configuration.WithApplierStore(platform.NewClient(f.address, timers))),
+		fleet: f,
+		applier: configuration.NewApplier(timers,
+			configuration.WithApplierStore(platform.NewClient(f.operatorAddress, timers))),
+		replicas: 1,
 	}
 }
 
@@ -208,13 +244,21 @@
 	o.applied++
 	// Nothing listens at the replica, so a poll of it is refused at once.
 	nowhere := func(int) netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:1") }
-	base, err := newBase(liveZones, 1, nowhere, o.applied)
+	all := append(slices.Clone(liveZones), otherZone)
+	base, err := newBase(all, 1, nowhere, o.applied)
+	if err != nil {
+		return 0, err
+	}
+	overlay, err := newBase(all, o.replicas, func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+	}, o.applied)
 	if err != nil {
 		return 0, err
 	}
 	o.applier.Check = contract.CheckAll
 	result, err := o.applier.Apply(ctx, configuration.Change{
 		ApplyID: fmt.Sprintf("bench-%d", o.applied), Operator: "bench", Base: base,
+		Overlays: map[zone.Zone]json.RawMessage{otherZone: overlay},
 	})
 	if err != nil {
 		return 0, err
@@ -285,7 +329,9 @@
 	}
 	idle := make(map[int]Idle)
 	for _, i := range r.Idle {
-		idle[i.Instances] = i
+		if i.Replicas == r.Idle[0].Replicas {
+			idle[i.Instances] = i
+		}
 	}
 	small, ok := idle[smallFleet]
 	large, also := idle[largeFleet]
@@ -314,12 +360,13 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintf(table, "Live instances over loopback, seed %d, %d cores\n", r.Seed, r.Cores)
 	_, _ = fmt.Fprint(table, titled("Idle fleet, for each instance unless stated"))
-	_, _ = fmt.Fprintln(table, "instances\tstore calls/s (fleet)\tlist calls/s (fleet)\tpeer B/s sent\tpeer B/s received\t"+
-		"platform B/s sent\tplatform B/s received\t% of a core\theap KB\tstack KB\t")
+	_, _ = fmt.Fprintln(table, "replicas\tinstances\tstore calls/s (fleet)\tlist calls/s (fleet)\tpeer B/s sent\tpeer B/s received\t"+
+		"platform B/s sent\tplatform B/s received\t% of a core\theap KB\tstack KB\t"+
+		"platform KB received for each change (fleet)\t")
 	for _, i := range r.Idle {
-		_, _ = fmt.Fprintf(table, "%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t\n", i.Instances, i.StoreCallsASecond,
+		_, _ = fmt.Fprintf(table, "%d\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.1f\t\n", i.Replicas, i.Instances, i.StoreCallsASecond,
 			i.ListCallsASecond, i.PeerBytesSentASecond, i.PeerBytesReceivedASecond, i.PlatformBytesSentASecond,
-			i.PlatformBytesReceivedASecond, 100*i.Cores, i.HeapBytes/1024, i.StackBytes/1024)
+			i.PlatformBytesReceivedASecond, 100*i.Cores, i.HeapBytes/1024, i.StackBytes/1024, i.ChangeBytes/1024)
 	}
 	_, _ = fmt.Fprint(table, titled("Time from accepted to in force at every instance"))
 	_, _ = fmt.Fprintln(table, "instances\tstore\tapplies\tp50 / p99 / max\tstore calls for each change (fleet)\t")
