Watch and read a small announcement in place of the record

Cause: each watch and read of a zone carried the whole record, 291 KB every 5 s at the expected size.

Change: apply announces a revision under ConfigurationRevision, writes the record, and confirms the announcement. The watcher and the reader of a zone get the announcement only, and read the record once when its revision is not in force: at once when it is confirmed, after 1 s and then at growing intervals when it is not. A missing, damaged or older announcement makes them read the record every 5 s, and one instance of each zone reads it every 2 minutes whatever is announced, for an apply of an older build. The record alone says what is accepted.

Ruled out: the announcement only after the record, because a writer that dies between leaves a change that no one reads; instances that confirm an announcement, because a slow apply may still write.

Faults that concern the write of the record are set at that write, because the announcement would use them up.

--- a/internal/fleet/configuration/apply.go
+++ b/internal/fleet/configuration/apply.go
@@ -145,7 +145,11 @@
 // Apply makes change the accepted configuration. A nil error means that the content was accepted. A *RaceError, and any
 // error other than ErrOutcomeUnknown, means that it was not and will not be.
 //
-// The write is a compare-and-swap on the version that was read. When its reply is lost, the same compare-and-swap is
+// The change is announced first, so that instances read the record even if this apply dies after it wrote the record, and the
+// announcement is confirmed last. The record alone says what is accepted; a confirmation that fails delays the change by
+// announceGrace.
+//
+// The write of the record is a compare-and-swap on the version that was read. When its reply is lost, the same compare-and-swap is
 // repeated until ctx ends: its success or its conflict proves that the first write can no longer take effect, and after a
 // conflict the record and its history tell who wrote the next revision.
 func (a *Applier) Apply(ctx context.Context, change Change) (result Result, err error) {
@@ -181,7 +185,52 @@
 		return Result{}, err
 	}
 
-	return a.swap(ctx, change, before, next, data, version)
+	announced, err := a.announce(ctx, next.Revision)
+	if err != nil {
+		return Result{}, fmt.Errorf("the change was not announced, and not written: %w", err)
+	}
+	result, err = a.swap(ctx, change, before, next, data, version)
+	if err == nil && result.Accepted.Revision == next.Revision {
+		// A conflict is another apply that announced a later revision.
+		confirmed := Announcement{Revision: next.Revision, Written: true}
+		_, _ = a.CompareAndSwap(ctx, AnnouncementKey, confirmed.encode(), announced, "")
+	}
+
+	return result, err
+}
+
+// announce writes that a record may have the revision soon, and returns the version of the announcement. The record must have
+// been read before: then every apply that announced before either wrote what this one read, or will get a conflict once
+// this one has written, and the confirmation of this one may replace what they announced.
+func (a *Applier) announce(ctx context.Context, revision uint64) (version uint64, err error) {
+	for pause := firstApplyPause; ; pause = min(2*pause, lastApplyPause) {
+		entry, err := a.Read(ctx, AnnouncementKey)
+		if err == nil {
+			// Another apply may have announced a later revision since the record was read.
+			next := Announcement{Revision: max(revision, decodeAnnouncement(entry.Value).Revision)}
+			version, err = a.CompareAndSwap(ctx, AnnouncementKey, next.encode(), entry.Version, "")
+		}
+		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+			return version, err
+		}
+		if !a.pause(ctx, pause) {
+			return 0, err
+		}
+	}
+}
+
+// pause waits for d and returns false if ctx ended before.
+func (a *Applier) pause(ctx context.Context, d time.Duration) bool {
+	over := make(chan struct{})
+	stop := a.timers.AfterFunc(d, func() { close(over) })
+	select {
+	case <-over:
+		return true
+	case <-ctx.Done():
+		stop()
+
+		return false
+	}
 }
 
 // current returns the accepted record and its version. Before the first apply, both are zero.
@@ -223,13 +272,7 @@
 		if !unknown {
 			return Result{}, err
 		}
-		over := make(chan struct{})
-		stop := a.timers.AfterFunc(pause, func() { close(over) })
-		select {
-		case <-over:
-		case <-ctx.Done():
-			stop()
-
+		if !a.pause(ctx, pause) {
 			return Result{}, fmt.Errorf("%w: ApplyID %s: %w", ErrOutcomeUnknown, change.ApplyID, err)
 		}
 		pause = min(2*pause, lastApplyPause)
--- a/internal/fleet/configuration/apply_test.go
+++ b/internal/fleet/configuration/apply_test.go
@@ -58,6 +58,9 @@
 		a.CompareAndSwap = func(
 			ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID,
 		) (uint64, error) {
+			if key != configuration.Key {
+				return swap(ctx, key, value, expected, lease)
+			}
 			writes++
 			beforeWrite(writes)
 			if giveUp && writes == 1 {
@@ -168,10 +171,12 @@
 	DescribeTable("names the winner of a race and what it changed",
 		func(ctx context.Context, fault standin.Fault) {
 			amid("b1", `{"Services":{"lot":{"Worth":1,"Slots":2}},"Shards":[1,2]}`)
-			store.SetFaults(fault)
 			giveUp = fault.DelayWrite > 0
 			raceAt := 1 + fault.DelayWrite
 			beforeWrite = func(write int) {
+				if write == 1 {
+					store.SetFaults(fault)
+				}
 				if write == raceAt {
 					amid("b2", `{"Services":{"lot":{"Worth":2},"new":null},"Shards":[1,3]}`)
 				}
@@ -193,8 +198,10 @@
 
 	DescribeTable("settles a write whose reply was lost and which was then superseded",
 		func(ctx context.Context, applies int, known bool) {
-			store.SetFaults(standin.Fault{LoseReply: 1})
 			beforeWrite = func(write int) {
+				if write == 1 {
+					store.SetFaults(standin.Fault{LoseReply: 1})
+				}
 				for i := 0; write == 2 && i < applies; i++ {
 					amid(fmt.Sprintf("b%d", i), fmt.Sprintf(`{"X":%d}`, i))
 				}
@@ -240,6 +247,31 @@
 		Expect(accepted(ctx).Revision).To(Equal(uint64(2)))
 	})
 
+	DescribeTable("announces a revision before the record has it, so that an apply that dies leaves no change unseen",
+		func(ctx context.Context, before, during, after string) {
+			announcement := func() string {
+				GinkgoHelper()
+				entry, err := client.Read(ctx, configuration.AnnouncementKey)
+				Expect(err).NotTo(HaveOccurred())
+
+				return string(entry.Value)
+			}
+			if before != "" {
+				_, err := client.CompareAndSwap(ctx, configuration.AnnouncementKey, []byte(before), 0, "")
+				Expect(err).NotTo(HaveOccurred())
+			}
+			var announced string
+			beforeWrite = func(int) { announced = announcement() }
+			_, err := apply(ctx, a, change("a1", "Amparo", `{}`))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(announced).To(Equal(during))
+			Expect(announcement()).To(Equal(after))
+		},
+		Entry("where there is none", "", `{"Revision":1,"Written":false}`, `{"Revision":1,"Written":true}`),
+		Entry("without lowering that of another apply", `{"Revision":2}`, `{"Revision":2,"Written":false}`, `{"Revision":1,"Written":true}`),
+		Entry("over a damaged one", `{`, `{"Revision":1,"Written":false}`, `{"Revision":1,"Written":true}`),
+	)
+
 	It("refuses bad input without a write", func(ctx context.Context) {
 		_, err := a.Apply(ctx, configuration.Change{Base: json.RawMessage(`{`)})
 		Expect(err).To(MatchError(And(
--- a/internal/fleet/configuration/spread_test.go
+++ b/internal/fleet/configuration/spread_test.go
@@ -30,14 +30,34 @@
 // store stands in for the platform's store.
 type store struct {
 	mu      sync.Mutex
-	entry   platform.Entry
+	entries map[string]platform.Entry
+	records int // reads of the record
 	down    bool
 	stalled bool // watches never answer
 	changed chan struct{}
 }
 
+// put writes a record with its announcement, as apply does.
 func (s *store) put(raw []byte) {
-	s.set(func() { s.entry = platform.Entry{Key: configuration.Key, Value: raw, Version: s.entry.Version + 1} })
+	s.write(configuration.Key, raw)
+	r, err := configuration.Decode(raw)
+	Expect(err).NotTo(HaveOccurred())
+	s.announce(r.Revision, true)
+}
+
+func (s *store) announce(revision uint64, written bool) {
+	s.write(configuration.AnnouncementKey, fmt.Appendf(nil, `{"Revision":%d,"Written":%t}`, revision, written))
+}
+
+func (s *store) write(key string, raw []byte) {
+	s.set(func() { s.entries[key] = platform.Entry{Key: key, Value: raw, Version: s.entries[key].Version + 1} })
+}
+
+func (s *store) recordReads() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.records
 }
 
 func (s *store) set(change func()) {
@@ -48,20 +68,24 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *store) read(context.Context, string) (platform.Entry, error) {
+func (s *store) read(_ context.Context, key string) (platform.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return platform.Entry{}, platform.ErrUnavailable
 	}
 
-	return s.entry, nil
+	if key == configuration.Key {
+		s.records++
+	}
+
+	return s.entries[key], nil
 }
 
-func (s *store) watch(ctx context.Context, _ string, after uint64) (platform.Entry, error) {
+func (s *store) watch(ctx context.Context, key string, after uint64) (platform.Entry, error) {
 	for {
 		s.mu.Lock()
-		entry, down, stalled, changed := s.entry, s.down, s.stalled, s.changed
+		entry, down, stalled, changed := s.entries[key], s.down, s.stalled, s.changed
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -98,7 +122,7 @@
 
 func newFleet(size int, seed uint64) *fleet {
 	GinkgoWriter.Printf("seed %d\n", seed)
-	f := &fleet{clock: clockwork.NewFakeClock(), store: &store{changed: make(chan struct{})}}
+	f := &fleet{clock: clockwork.NewFakeClock(), store: &store{entries: map[string]platform.Entry{}, changed: make(chan struct{})}}
 	timers := timer.New(timer.WithClock(f.clock))
 	var members []instance.Instance
 	for i := range size {
@@ -289,6 +313,7 @@
 
 			return f.calls().Reads
 		}, "30s", "2ms").Should(BeNumerically(">", 30+3*5), "only readers go on after the start")
+		Expect(f.store.recordReads()).To(BeNumerically("<=", 30+3*4), "once at the start, and once for each zone and revision")
 		watches := f.calls().Watches
 		Expect(watches).To(BeNumerically(">=", 3*4))
 		Expect(watches).To(BeNumerically("<=", 3*5), "one for each zone and revision, and the one that waits")
@@ -304,6 +329,50 @@
 		all(f, 2)
 	})
 
+	DescribeTable("takes a change into force within seconds, and does not read the record again and again",
+		func(change func(*store), within time.Duration, reads int) {
+			f := newFleet(6, 10)
+			f.store.put(record(1, "a"))
+			f.start(f.nodes...)
+			all(f, 1)
+			change(f.store)
+			began := f.clock.Now()
+			all(f, 2)
+			Expect(f.clock.Since(began)).To(BeNumerically("<=", within))
+			before := f.store.recordReads()
+			for range 4 * 60 {
+				f.revisions()
+				time.Sleep(200 * time.Microsecond)
+			}
+			Expect(f.store.recordReads() - before).To(BeNumerically("<=", reads))
+		},
+		// The times have room for a clock that goes on while an instance works. A minute has 12 reads of each of the two
+		// instances of a zone in which the announcement cannot be trusted, and 6 for an announcement that nothing follows.
+		Entry("announced by a writer that died before it confirmed", func(s *store) {
+			s.announce(2, false)
+			s.write(configuration.Key, record(2, "b"))
+		}, 5*time.Second, 6),
+		Entry("written long after it was announced", func(s *store) {
+			s.announce(2, false)
+			time.AfterFunc(20*time.Millisecond, func() { s.write(configuration.Key, record(2, "b")) })
+		}, time.Minute, 6),
+		Entry("written although a later announced one never came", func(s *store) {
+			s.announce(3, false)
+			s.write(configuration.Key, record(2, "b"))
+		}, 5*time.Second, 6*7),
+		Entry("written by an older build after the announcement was lost", func(s *store) {
+			s.set(func() { delete(s.entries, configuration.AnnouncementKey) })
+			s.write(configuration.Key, record(2, "b"))
+		}, 10*time.Second, 6*13),
+		Entry("written by an older build, which announces nothing", func(s *store) {
+			s.write(configuration.Key, record(2, "b"))
+		}, 3*time.Minute, 6*13),
+		Entry("announced by a damaged value", func(s *store) {
+			s.write(configuration.AnnouncementKey, []byte("{"))
+			s.write(configuration.Key, record(2, "b"))
+		}, 10*time.Second, 6*13),
+	)
+
 	It("backs off in an outage and finds the record after it", func() {
 		f := newFleet(6, 8)
 		f.store.put(record(1, "a"))
--- a/internal/fleet/configuration/watcher.go
+++ b/internal/fleet/configuration/watcher.go
@@ -59,11 +59,12 @@
 const (
 	noRole role = iota
 	watching
+	watchingAlone // in a zone without a second instance
 	reading
 )
 
-// Watcher brings records from the store to the keeper. In each zone one instance watches, so that store calls grow with the
-// number of zones, and a second one reads as a check.
+// Watcher brings records from the store to the keeper. In each zone one instance watches the announcement, so that store calls
+// grow with the number of zones, and a second one reads it as a check. The record itself is read once for each change.
 type Watcher struct {
 	self   instance.Instance
 	keeper *Keeper
@@ -141,7 +142,7 @@
 	offers := make([]offer, len(peers)+1)
 	var running sync.WaitGroup
 	running.Go(func() {
-		if entry, err := w.read(ctx); err == nil {
+		if entry, err := w.read(ctx, Key); err == nil {
 			offers[0] = offer{raw: entry.Value, source: "Store"}
 		}
 	})
@@ -183,6 +184,10 @@
 	order := ownership.Rank(Key, zone)
 	switch position := slices.IndexFunc(order, func(i instance.Instance) bool { return i.Name == w.self.Name }); position {
 	case 0:
+		if len(order) == 1 {
+			return watchingAlone
+		}
+
 		return watching
 	case 1:
 		return reading
@@ -193,11 +198,12 @@
 
 // begin starts the work of a role and returns the function that ends it.
 func (w *Watcher) begin(ctx context.Context, next role) (stop func()) {
+	s := newSchedule(w.keeper, w.timers, next != watching)
 	work := w.readAll
 	switch next {
 	case noRole:
 		return func() {}
-	case watching:
+	case watching, watchingAlone:
 		w.log.Log(event.ConfigurationWatching, "AvailabilityZone", w.self.AvailabilityZone)
 		work = w.watchAll
 	}
@@ -205,7 +211,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		work(ctx)
+		work(ctx, s)
 	}()
 
 	return func() {
@@ -214,21 +220,33 @@
 	}
 }
 
-// watchAll holds a watch until ctx ends.
-func (w *Watcher) watchAll(ctx context.Context) {
+// watchAll holds a watch on the announcement and reads the record when s says so, until ctx ends.
+func (w *Watcher) watchAll(ctx context.Context, s *schedule) {
 	var after uint64
 	wait := w.backoff(maxBackoff)
 	for ctx.Err() == nil {
+		due := s.wait()
+		if due <= 0 {
+			if w.fetch(ctx, s) != nil {
+				_ = wait(ctx)
+			} else {
+				wait = w.backoff(maxBackoff)
+			}
+
+			continue
+		}
 		began := w.timers.Now()
-		entry, err := w.watch(ctx, after)
+		entry, err := w.watch(ctx, after, due)
 		switch {
 		case err == nil && entry.Version != after:
 			after = entry.Version
-			w.offer(entry)
+			s.learn(entry.Value)
 			wait = w.backoff(maxBackoff)
 		case err == nil && w.timers.Since(began) >= roleEvery:
 			// The platform answers a watch without a change after some time.
 			wait = w.backoff(maxBackoff)
+		case w.timers.Since(began) >= due:
+			// The watch was ended for a read of the record.
 		default:
 			// A store that answers at once without a change would otherwise be called without a pause.
 			_ = wait(ctx)
@@ -236,22 +254,38 @@
 	}
 }
 
-// readAll reads every ReadEvery until ctx ends.
-func (w *Watcher) readAll(ctx context.Context) {
+// readAll reads the announcement every ReadEvery, and the record when s says so, until ctx ends.
+func (w *Watcher) readAll(ctx context.Context, s *schedule) {
 	wait := w.backoff(maxBackoff)
 	for ctx.Err() == nil {
-		if entry, err := w.read(ctx); err != nil {
+		entry, err := w.read(ctx, AnnouncementKey)
+		if err == nil {
+			s.learn(entry.Value)
+			if s.wait() <= 0 {
+				err = w.fetch(ctx, s)
+			}
+		}
+		if err != nil {
 			_ = wait(ctx)
 
 			continue
-		} else if entry.Version != 0 {
-			w.offer(entry)
 		}
 		wait = w.backoff(maxBackoff)
-		_ = w.sleep(ctx, ReadEvery)
+		_ = w.sleep(ctx, min(ReadEvery, s.wait()))
 	}
 }
 
+// fetch reads the record and offers it to the keeper.
+func (w *Watcher) fetch(ctx context.Context, s *schedule) error {
+	entry, err := w.read(ctx, Key)
+	if err == nil {
+		w.offer(entry)
+		s.read()
+	}
+
+	return err
+}
+
 func (w *Watcher) offer(entry platform.Entry) {
 	if len(entry.Value) > 0 {
 		// The keeper counts and logs a bad record.
@@ -259,17 +293,23 @@
 	}
 }
 
-func (w *Watcher) read(ctx context.Context) (platform.Entry, error) {
+func (w *Watcher) read(ctx context.Context, key string) (platform.Entry, error) {
 	w.begun(&w.traffic.Reads)
-	entry, err := w.store.Read(ctx, Key)
+	entry, err := w.store.Read(ctx, key)
 	w.ended(ctx, entry, err)
 
 	return entry, err
 }
 
-func (w *Watcher) watch(ctx context.Context, after uint64) (platform.Entry, error) {
+// watch watches the announcement for at most limit.
+func (w *Watcher) watch(ctx context.Context, after uint64, limit time.Duration) (platform.Entry, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if limit < never {
+		defer w.timers.AfterFunc(limit, cancel)()
+	}
 	w.begun(&w.traffic.Watches)
-	entry, err := w.store.Watch(ctx, Key, after)
+	entry, err := w.store.Watch(ctx, AnnouncementKey, after)
 	w.ended(ctx, entry, err)
 
 	return entry, err
--- a/internal/proof/fleet/cases_test.go
+++ b/internal/proof/fleet/cases_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,7 +47,14 @@
 
 	It("guards against an operator's retry that applies twice, when the reply to the accepted write was lost", func() {
 		f := newFleetAt(9, unchanged)
-		f.platform.SetFaults(standin.Fault{LoseReply: 1})
+		var lose sync.Once
+		f.mu.Lock()
+		f.hook = func(step string, _ *node) {
+			if step == "apply before the write" {
+				lose.Do(func() { f.platform.SetFaults(standin.Fault{LoseReply: 1}) })
+			}
+		}
+		f.mu.Unlock()
 		f.apply("second", `"two"`)
 		Expect(f.pass(time.Minute, func() bool { return f.settledAll() && f.agree(2) })).To(BeTrue())
 		f.apply("second", `"two"`)
--- a/internal/proof/fleet/configuration_test.go
+++ b/internal/proof/fleet/configuration_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +21,8 @@
 const outage = 10 * time.Second
 
 var configurationSteps = []string{
-	"apply before the write", "apply after the write", "watch", "passing on", "taking into force", "start of an instance",
+	"apply before the announcement", "apply before the write", "apply after the write", "apply after the confirmation",
+	"watch", "passing on", "taking into force", "start of an instance",
 }
 
 // fault is one kind of fault. begin starts it at the instance that is in the step.
@@ -43,7 +45,7 @@
 
 func beforeWrite(f fault) fault {
 	f.never = func(step string) string {
-		if step != "apply before the write" {
+		if !strings.HasPrefix(step, "apply") || step == "apply after the confirmation" {
 			return "no write follows this step"
 		}
 
@@ -90,6 +92,13 @@
 	}},
 	store("list frozen", standin.Fault{FreezeList: true}, false),
 	{name: "two operators racing", begin: func(f *fleet, _ *node) { f.apply("rival", `"rival"`) }},
+	{name: "operator killed", begin: func(f *fleet, _ *node) { f.kill("second") }, never: func(step string) string {
+		if !strings.HasPrefix(step, "apply") {
+			return "no operator takes part in the step"
+		}
+
+		return ""
+	}},
 	{name: "clock of one instance off", begin: func(_ *fleet, n *node) { n.clock.Advance(time.Hour) }},
 	noTarget("target draining"), noTarget("target killed"), noTarget("target leaving only on the list"), noTarget("wrong report"),
 }
--- a/internal/proof/fleet/fleet_test.go
+++ b/internal/proof/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -101,14 +102,17 @@
 	hook  func(step string, n *node)
 	// settled is what operators were told of each ApplyID; nil means accepted.
 	settled map[string]error
+	// operators ends the apply of an ApplyID.
+	operators map[string]context.CancelFunc
 }
 
 func newFleet(size int, rewrite func(*node, []byte) []byte) *fleet {
 	f := &fleet{
-		clock:   clockwork.NewFakeClock(),
-		apart:   func(*node, *node) bool { return false },
-		rewrite: rewrite,
-		settled: map[string]error{},
+		clock:     clockwork.NewFakeClock(),
+		apart:     func(*node, *node) bool { return false },
+		rewrite:   rewrite,
+		settled:   map[string]error{},
+		operators: map[string]context.CancelFunc{},
 	}
 	f.timers = timer.New(timer.WithClock(f.clock))
 	f.platform = standin.New(standin.WithTimers(f.timers))
@@ -300,6 +304,10 @@
 // apply makes an operator apply base, again and again under the same ApplyID until the outcome is known.
 func (f *fleet) apply(id, base string) {
 	f.applying.Add(1)
+	ctx, kill := context.WithCancel(f.ctx)
+	f.mu.Lock()
+	f.operators[id] = kill
+	f.mu.Unlock()
 	f.running.Go(func() {
 		defer f.applying.Add(-1)
 		client := platform.NewClient(f.address, f.timers)
@@ -309,14 +317,25 @@
 			ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID,
 		) (uint64, error) {
 			operator := &node{fleet: f}
-			operator.at("apply before the write", value)
+			before, after := "apply before the write", "apply after the write"
+			if key == configuration.AnnouncementKey {
+				before, after = "apply before the announcement", ""
+				if bytes.Contains(value, []byte(`"Written":true`)) {
+					before, after = "", "apply after the confirmation"
+				}
+			}
+			operator.at(before, []byte(base))
 			version, err := client.CompareAndSwap(ctx, key, value, expected, lease)
-			operator.at("apply after the write", value)
+			operator.at(after, []byte(base))
 
 			return version, err
 		}
 		for {
-			_, err := applier.Apply(f.ctx, configuration.Change{ApplyID: id, Operator: id, Base: json.RawMessage(base)})
+			_, err := applier.Apply(ctx, configuration.Change{ApplyID: id, Operator: id, Base: json.RawMessage(base)})
+			if ctx.Err() != nil {
+				// A killed operator is told nothing.
+				return
+			}
 			var race *configuration.RaceError
 			if err == nil || errors.As(err, &race) {
 				f.mu.Lock()
@@ -327,13 +346,20 @@
 			}
 			select {
 			case <-f.timers.After(time.Second):
-			case <-f.ctx.Done():
+			case <-ctx.Done():
 				return
 			}
 		}
 	})
 }
 
+// kill ends the apply of an ApplyID as it stands.
+func (f *fleet) kill(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.operators[id]()
+}
+
 func (f *fleet) settledAll() bool { return f.applying.Load() == 0 }
 
 // record returns the accepted record as it stands in the store.
@@ -359,6 +385,12 @@
 	Expect(err).NotTo(HaveOccurred())
 	_, err = client.CompareAndSwap(context.Background(), configuration.Key, raw, entry.Version, "")
 	Expect(err).NotTo(HaveOccurred())
+	// The announcement goes back too, which makes the instances read the older record.
+	entry, err = client.Read(context.Background(), configuration.AnnouncementKey)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = client.CompareAndSwap(context.Background(), configuration.AnnouncementKey,
+		fmt.Appendf(nil, `{"Revision":%d,"Written":true}`, decode(raw).Revision), entry.Version, "")
+	Expect(err).NotTo(HaveOccurred())
 }
 
 func decode(raw []byte) configuration.Record {
