Let the instances of a zone take turns at the platform's list

Cause: every instance read the whole list 0.3 times a second, 112 KB/s each at the expected size, and the calls grew with the instances.

Change: package fleet/listing. The instance next in turn reads the list when the last one is 4 s old, and passes the leaving targets and a sample of unknown peer addresses on to the other instances of its zone by the new call Listing. The next two in turn follow 0.25 s later each when they hear nothing, and all others before the list is 5 s old, which is the time between two reads of every instance until now. So the bound of 9 s stays as it was. A target stays marked for 6 s after the last list that named it, so that a message that waited in the connection of a frozen instance cannot end a newer mark. An instance that knows no other reads for itself whenever it looks for seeds.

Ruled out: two fixed readers in each zone, which would each take 74 KB/s; gossip, which takes longer than the bound allows.

--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
+	"github.com/hickorynotch/hickorynotch/internal/fleet/listing"
 	"github.com/hickorynotch/hickorynotch/internal/fleet/membership"
 	"github.com/hickorynotch/hickorynotch/internal/policy/admission"
 	"github.com/hickorynotch/hickorynotch/internal/policy/budget"
@@ -78,6 +79,7 @@
 	keeper  *configuration.Keeper
 	spread  *configuration.Spread
 	watcher *configuration.Watcher
+	list    *listing.Reader
 
 	catalog    *snapshot.Catalog
 	links      *link.Table
@@ -193,7 +195,7 @@
 	e.members = membership.New(self, e.timers,
 		membership.Calls{Ping: e.peers.Ping, PingRequest: e.peers.PingRequest, Sync: e.peers.Sync},
 		membership.WithSeeds(e.settings.Seeds...),
-		membership.WithSeedList(e.listedPeers),
+		membership.WithSeedList(func(ctx context.Context) ([]netip.AddrPort, error) { return e.list.Seeds(ctx) }),
 		membership.WithRevision(e.keeper.Revision,
 			func(from instance.Instance, revision uint64) { e.spread.Behind(from, revision) }),
 		membership.WithOnPause(e.onPause),
@@ -204,6 +206,8 @@
 		configuration.PeerCalls{Push: e.peers.Push, Configuration: e.peers.Configuration}, e.members.Live, e.seed)
 	e.watcher = configuration.NewWatcher(self, e.spread,
 		configuration.StoreCalls{Read: e.platform.Read, Watch: e.platform.Watch}, e.seed, e.log)
+	e.list = listing.New(self, e.timers, listing.Calls{List: e.platform.List, Pass: e.peers.PassListing},
+		e.members.Live, e.catalog.MarkLeaving, listing.WithSeed(e.seed), listing.WithLog(e.log))
 
 	e.peerServer = peer.NewServer(
 		peer.WithRelay(func(ctx context.Context, from peer.Sender, a attempt.Attempt) (target.Reply, error) {
@@ -213,7 +217,8 @@
 		peer.WithPingRequest(e.members.HandlePingRequest),
 		peer.WithSync(e.members.HandleSync),
 		peer.WithConfiguration(e.spread.HandleConfiguration),
-		peer.WithPush(e.spread.HandlePush))
+		peer.WithPush(e.spread.HandlePush),
+		peer.WithListing(e.list.HandlePass))
 }
 
 // assembleQuery makes the path of a request from the caller to the targets.
@@ -421,8 +426,6 @@
 	}
 	e.poll(ctx)
 	// The list lags and may be away, and the targets' own reports were read above, so its absence does not delay readiness.
-	if listed, err := e.platform.List(ctx); err == nil {
-		e.markLeaving(listed)
-	}
+	_ = e.list.Read(ctx)
 	e.stale.Store(false)
 }
--- a/internal/run/entry/poll.go
+++ b/internal/run/entry/poll.go
@@ -8,7 +8,6 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/value/set"
-	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
 	"github.com/hickorynotch/hickorynotch/internal/world/instance"
 )
 
@@ -19,8 +18,6 @@
 	pollTimeout = 800 * time.Millisecond
 	// pollAtOnce bounds the polls in flight of one instance.
 	pollAtOnce = 32
-	// listEvery is the time between two reads of the platform's list, which lags by seconds itself.
-	listEvery = 5 * time.Second
 )
 
 // runPoll asks all targets of the configuration for their status once every pollEvery, and at once after a new configuration
@@ -90,54 +87,6 @@
 	e.links.Learn(address, &report)
 }
 
-// runList reads the platform's list of leaving targets.
-func (e *Entry) runList(ctx context.Context) error {
-	ticks := e.timers.Subscribe(listEvery)
-	defer ticks.Stop()
-	available := true
-	for {
-		listed, err := e.platform.List(ctx)
-		switch {
-		case err == nil:
-			e.markLeaving(listed)
-		case available && ctx.Err() == nil:
-			e.log.Log(event.ListUnavailable, "Error", err)
-		}
-		available = err == nil
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticks.C:
-		}
-	}
-}
-
-func (e *Entry) markLeaving(listed []platform.Listed) {
-	var leaving []netip.AddrPort
-	for _, l := range listed {
-		if l.Kind == platform.Target && l.State == platform.Leaving {
-			leaving = append(leaving, l.Address)
-		}
-	}
-	e.catalog.MarkLeaving(leaving)
-}
-
-// listedPeers returns the peer addresses of the instances on the platform's list.
-func (e *Entry) listedPeers(ctx context.Context) ([]netip.AddrPort, error) {
-	listed, err := e.platform.List(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var peers []netip.AddrPort
-	for _, l := range listed {
-		if l.Kind == platform.EntryInstance && l.State == platform.Live && l.Address != e.settings.Peer {
-			peers = append(peers, l.Address)
-		}
-	}
-
-	return peers, nil
-}
-
 // owners returns the instances that may own targets. With the variants that have no owners there is none but this one.
 func (e *Entry) owners() []instance.Instance {
 	if e.settings.Limit == LimitOwner {
--- a/internal/run/entry/run.go
+++ b/internal/run/entry/run.go
@@ -64,7 +64,7 @@
 		{"configuration spread", e.spread.Run},
 		{"configuration watcher", e.watcher.Run},
 		{"target poll", e.runPoll},
-		{"platform list", e.runList},
+		{"platform list", e.list.Run},
 	} {
 		supervisor.Add(s)
 	}
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -228,6 +228,11 @@
 	return c.control(ctx, to, rpcPush, &record{Sender: c.sender, Record: packed}, &done{})
 }
 
+// PassListing gives the peer what this instance read in the platform's list.
+func (c *Client) PassListing(ctx context.Context, to netip.AddrPort, l Listing) error {
+	return c.control(ctx, to, rpcListing, &listing{Sender: c.sender, Listing: l}, &done{})
+}
+
 func (c *Client) control(ctx context.Context, to netip.AddrPort, rpc string, in, out any) error {
 	_, err := c.call(ctx, poolKey{address: to, control: true}, c.callTimeout, rpc, in, out)
 
--- a/internal/wire/peer/export_test.go
+++ b/internal/wire/peer/export_test.go
@@ -4,7 +4,7 @@
 func Messages() []any {
 	return []any{
 		&hello{}, &relayRequest{}, &relayReply{}, &ping{}, &ack{}, &pingRequest{}, &syncRequest{}, &syncReply{},
-		&configurationRequest{}, &configurationReply{}, &record{}, &done{},
+		&configurationRequest{}, &configurationReply{}, &record{}, &done{}, &listing{},
 	}
 }
 
--- a/internal/wire/peer/message.go
+++ b/internal/wire/peer/message.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"github.com/hickorynotch/hickorynotch/internal/query/attempt"
+	"github.com/hickorynotch/hickorynotch/internal/value/duration"
 	"github.com/hickorynotch/hickorynotch/internal/value/fault"
 	"github.com/hickorynotch/hickorynotch/internal/wire/target"
 	"github.com/hickorynotch/hickorynotch/internal/world/instance"
@@ -73,6 +75,38 @@
 	}
 }
 
+// Listing is what the instances of an availability zone need of the platform's list.
+type Listing struct {
+	// Age is the time since the sender began to read the list.
+	Age duration.Duration
+	// Leaving are the targets that the list names as leaving.
+	Leaving []netip.AddrPort
+	// Seeds are instances that the receiver may not know, the sender among them.
+	Seeds []netip.AddrPort
+}
+
+func (l *Listing) check(path string, faults *fault.List) {
+	if l.Age < 0 || l.Age.Std() > MaxListingAge {
+		faults.Add(path+".Age", "%s is not within 0 to %s", l.Age.Std(), MaxListingAge)
+	}
+	for _, list := range []struct {
+		name      string
+		addresses []netip.AddrPort
+		limit     int
+	}{{"Leaving", l.Leaving, MaxLeaving}, {"Seeds", l.Seeds, MaxSeeds}} {
+		if len(list.addresses) > list.limit {
+			faults.Add(path+"."+list.name, "%d entries, at most %d are accepted", len(list.addresses), list.limit)
+
+			continue
+		}
+		for i, address := range list.addresses {
+			if !address.IsValid() {
+				faults.Add(fmt.Sprintf("%s.%s[%d]", path, list.name, i), "is not an address")
+			}
+		}
+	}
+}
+
 type hello struct {
 	Sender Sender
 }
@@ -232,6 +266,20 @@
 	return faults.Err()
 }
 
+type listing struct {
+	Sender  Sender
+	Listing Listing
+}
+
+// Check returns the faults of m.
+func (m *listing) Check() error {
+	var faults fault.List
+	m.Sender.check(&faults)
+	m.Listing.check("Listing", &faults)
+
+	return faults.Err()
+}
+
 // configurationReply carries a compressed record, or none when the sender's is not older.
 type configurationReply struct {
 	Record []byte
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -17,6 +17,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/zeebo/errs"
 	"storj.io/drpc/drpcerr"
 )
@@ -37,6 +39,12 @@
 	MaxUpdates = 8
 	// MaxMembers is the number of members in a Table.
 	MaxMembers = 1024
+	// MaxLeaving and MaxSeeds bound a Listing. There are 3,200 targets at the expected size. A receiver tries one seed every
+	// 10 s, and each Listing has another choice of them.
+	MaxLeaving = 8 << 10
+	MaxSeeds   = 32
+	// MaxListingAge is above the time for which a Listing is useful.
+	MaxListingAge = time.Minute
 	// maxElements bounds every array and map of a message before its elements are allocated. Hits of a reply are the
 	// longest array.
 	maxElements = 16 << 10
@@ -53,6 +61,7 @@
 	rpcSync          = "/Peer/Sync"
 	rpcConfiguration = "/Peer/Configuration"
 	rpcPush          = "/Peer/Push"
+	rpcListing       = "/Peer/Listing"
 )
 
 // Codes of errors that a server returns before a call reaches its function.
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -36,6 +36,7 @@
 	syncFunc          func(ctx context.Context, from Sender, table Table) (Table, error)
 	configurationFunc func(ctx context.Context, from Sender, have uint64) ([]byte, error)
 	pushFunc          func(ctx context.Context, from Sender, raw []byte) error
+	listingFunc       func(ctx context.Context, from Sender, listing Listing) error
 	blockedFunc       func(zone.Zone) bool
 
 	mu       sync.Mutex
@@ -80,6 +81,11 @@
 	return func(s *Server) { s.pushFunc = f }
 }
 
+// WithListing sets the function that takes what the sender read in the platform's list.
+func WithListing(f func(ctx context.Context, from Sender, listing Listing) error) ServerOption {
+	return func(s *Server) { s.listingFunc = f }
+}
+
 // WithBlocked sets the function that names the availability zones from which calls get no answer. Tests use it to
 // partition processes: calls on open connections stall, and new connections fail at their Hello.
 func WithBlocked(f func(zone.Zone) bool) ServerOption {
@@ -269,6 +275,14 @@
 	return &done{}, s.pushFunc(ctx, in.Sender, raw)
 }
 
+func (s *Server) listing(ctx context.Context, in *listing) (*done, error) {
+	if err := s.admit(ctx, in.Sender, s.listingFunc != nil); err != nil {
+		return nil, err
+	}
+
+	return &done{}, s.listingFunc(ctx, in.Sender, in.Listing)
+}
+
 // boundedListener closes connections over maxConnections at once.
 type boundedListener struct {
 	net.Listener
