--- a/internal/bench/control/fleet.go
+++ b/internal/bench/control/fleet.go
@@ -281,6 +281,15 @@
 	}
 }
 
+// storeBytes returns the size of the store's values that each instance received.
+func (f *liveFleet) storeBytes() (sizes []uint64) {
+	for _, i := range f.instances {
+		sizes = append(sizes, i.entry.Status().StoreBytes)
+	}
+
+	return sizes
+}
+
 // peerBytes returns the bytes that all instances sent to peers. Each is received by another instance.
 func (f *liveFleet) peerBytes() (sent uint64) {
 	for _, i := range f.instances {
--- a/internal/bench/control/live.go
+++ b/internal/bench/control/live.go
@@ -73,8 +73,10 @@
 	HeapBytes float64
 	// StackBytes is the memory of goroutine stacks.
 	StackBytes float64
-	// ChangeBytes is what all instances receive from the platform for each change, above the idle load.
-	ChangeBytes float64
+	// MostStoreBytesASecond is the size of the store's values that one instance received, the highest of the fleet, and
+	// ChangeBytes what all instances received for each change, above the idle load.
+	MostStoreBytesASecond float64
+	ChangeBytes           float64
 }
 
 // InForce is the time from accepted to in force at every instance, in one state of the store.
@@ -164,6 +166,7 @@
 		return Idle{}, err
 	}
 	calls, sent, processor, began := f.platform.Calls(), f.peerBytes(), processorTime(), time.Now()
+	values := f.storeBytes()
 	fromStore, toStore := f.store.written.Load(), f.store.read.Load()
 	if err := sleep(ctx, idleTime); err != nil {
 		return Idle{}, err
@@ -182,6 +185,8 @@
 		PlatformBytesReceivedASecond: each(f.store.written.Load() - fromStore),
 		Cores:                        (processorTime() - processor).Seconds() / window.Seconds() / float64(size),
 	}
+	most, all := mostAndSum(values, f.storeBytes())
+	idle.MostStoreBytesASecond = float64(most) / window.Seconds()
 	idle.PeerBytesReceivedASecond = idle.PeerBytesSentASecond
 	idle.StoreCallsASecond = float64(idle.StoreCalls) / window.Seconds()
 	idle.ListCallsASecond = float64(idle.ListCalls) / window.Seconds()
@@ -189,7 +194,7 @@
 	idle.HeapBytes = (float64(heapAfter) - float64(heap)) / float64(size)
 	idle.StackBytes = (float64(stackAfter) - float64(stack)) / float64(size)
 
-	received, began := f.store.written.Load(), time.Now()
+	values, began = f.storeBytes(), time.Now()
 	for range changesCounted {
 		if _, err := operator.apply(ctx); err != nil {
 			return Idle{}, err
@@ -198,12 +203,23 @@
 			return Idle{}, err
 		}
 	}
-	background := time.Since(began).Seconds() * idle.PlatformBytesReceivedASecond * float64(size)
-	idle.ChangeBytes = (float64(f.store.written.Load()-received) - background) / changesCounted
+	background := time.Since(began).Seconds() * float64(all) / window.Seconds()
+	_, all = mostAndSum(values, f.storeBytes())
+	idle.ChangeBytes = (float64(all) - background) / changesCounted
 
 	return idle, nil
 }
 
+// mostAndSum returns the highest growth of a count and that of all.
+func mostAndSum(before, after []uint64) (most, sum uint64) {
+	for i := range before {
+		most = max(most, after[i]-before[i])
+		sum += after[i] - before[i]
+	}
+
+	return most, sum
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -362,11 +378,11 @@
 	_, _ = fmt.Fprint(table, titled("Idle fleet, for each instance unless stated"))
 	_, _ = fmt.Fprintln(table, "replicas\tinstances\tstore calls/s (fleet)\tlist calls/s (fleet)\tpeer B/s sent\tpeer B/s received\t"+
 		"platform B/s sent\tplatform B/s received\t% of a core\theap KB\tstack KB\t"+
-		"platform KB received for each change (fleet)\t")
+		"store B/s (highest)\tstore KB for each change (fleet)\t")
 	for _, i := range r.Idle {
-		_, _ = fmt.Fprintf(table, "%d\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.1f\t\n", i.Replicas, i.Instances, i.StoreCallsASecond,
+		_, _ = fmt.Fprintf(table, "%d\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t\n", i.Replicas, i.Instances, i.StoreCallsASecond,
 			i.ListCallsASecond, i.PeerBytesSentASecond, i.PeerBytesReceivedASecond, i.PlatformBytesSentASecond,
-			i.PlatformBytesReceivedASecond, 100*i.Cores, i.HeapBytes/1024, i.StackBytes/1024, i.ChangeBytes/1024)
+			i.PlatformBytesReceivedASecond, 100*i.Cores, i.HeapBytes/1024, i.StackBytes/1024, i.MostStoreBytesASecond, i.ChangeBytes/1024)
 	}
 	_, _ = fmt.Fprint(table, titled("Time from accepted to in force at every instance"))
 	_, _ = fmt.Fprintln(table, "instances\tstore\tapplies\tp50 / p99 / max\tstore calls for each change (fleet)\t")
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -322,6 +322,7 @@
 	}
 	store, gossip := e.watcher.Traffic(), e.members.Traffic()
 	status.StoreCalls = store.Reads + store.Watches
+	status.StoreBytes = store.Bytes
 	status.ControlBytes = store.Bytes + gossip.BytesSent + gossip.BytesReceived
 	status.ControlMessages = gossip.MessagesSent + gossip.MessagesReceived
 
--- a/internal/wire/operator/operator.go
+++ b/internal/wire/operator/operator.go
@@ -53,8 +53,9 @@
 	ApplyID  string
 	Services []string
 	Members  []Member
-	// StoreCalls, ControlBytes and ControlMessages count control traffic since the start.
+	// StoreCalls, StoreBytes (of values), ControlBytes and ControlMessages count control traffic since the start.
 	StoreCalls      uint64
+	StoreBytes      uint64
 	ControlBytes    uint64
 	ControlMessages uint64
 }
