Avoid lost peers for a doubling time and bound the wait for a connection

Cause: a dial to a dead or frozen peer took up to 250 ms, longer than the deadline of 170 ms. The query's end cancelled the relay first, so the peer counted as cancelled and not as unreached, and was never avoided: every relay to it was late until the members failed it.

Change: an attempt waits for a connection a third of its time. The dial goes on without it and leaves its connection to later attempts, and an attempt does not begin a dial while another one has hung for as long. A peer is avoided for 250 ms, doubling to 8 s, with one probe at a time, after a relay without connection or three in a row without any byte; an answer ends it. A relay that was silent for all of its time closes the idle connections to that peer, so that the next one dials and tells a frozen peer from a stalled connection. Only attempts of which no byte was handed over go on to the next instance, as before.

Ruled out: counting cancelled relays as silent. Hedges and early returns cancel many, and a target that does not answer would make its healthy owner look silent; any byte from the peer on any of its relay connections therefore counts.

--- a/internal/query/dispatch/dispatch.go
+++ b/internal/query/dispatch/dispatch.go
@@ -12,7 +12,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,11 +29,6 @@
 	maxRelays = 2
 	// hopTime is what a relay takes off the time that remains.
 	hopTime = 2 * time.Millisecond
-	// avoidTime is the time for which a peer that was not reached is passed over. Without it, each attempt would wait for
-	// a paused owner until the members fail it after about 5 s.
-	avoidTime = time.Second
-	// maxAvoided bounds the peers that are remembered as not reached.
-	maxAvoided = peer.MaxMembers
 )
 
 // Functions are what a Dispatcher works with. All are required.
@@ -55,7 +49,7 @@
 	Relayed uint64 // at a peer, or may have run there
 	Handled uint64 // here, for a peer
 	Direct  uint64 // past the owner
-	Avoided uint64 // peers passed over because they were not reached shortly before
+	Avoided uint64 // peers passed over because relays did not reach them
 }
 
 // Dispatcher runs attempts. It is safe for concurrent use.
@@ -67,13 +61,15 @@
 
 	local, relayed, handled, direct, avoided atomic.Uint64
 
-	mu    sync.Mutex
-	avoid map[netip.AddrPort]time.Time
+	avoidance avoidance
 }
 
 // New returns a Dispatcher of the instance with the name self.
 func New(self string, timers *timer.Service, functions Functions) *Dispatcher {
-	return &Dispatcher{self: self, timers: timers, functions: functions, avoid: make(map[netip.AddrPort]time.Time)}
+	return &Dispatcher{
+		self: self, timers: timers, functions: functions,
+		avoidance: avoidance{timers: timers, peers: make(map[netip.AddrPort]*avoided)},
+	}
 }
 
 // Counts returns the counts since the start.
@@ -88,7 +84,8 @@
 }
 
 // Do runs a at the first instance in the order of owners that can be reached, and directly when there is none. An error is
-// a *target.Failure or what Local or Direct returned. An attempt that may have run is never sent again.
+// a *target.Failure or what Local or Direct returned. An attempt that may have run is never sent again: only one of which no
+// byte was handed to a peer, or that a leaving peer refused, goes on to the next instance.
 func (d *Dispatcher) Do(ctx context.Context, a attempt.Attempt) (target.Reply, error) {
 	began := d.timers.Now()
 	relays := 0
@@ -96,23 +93,27 @@
 		if owner.Name == d.self {
 			return d.run(ctx, a, began, 0, &d.local, d.functions.Local)
 		}
-		if d.avoids(owner.Peer) {
+		if relays == maxRelays {
+			break
+		}
+		admitted, probe := d.avoidance.admit(owner.Peer)
+		if !admitted {
 			d.avoided.Add(1)
 
 			continue
 		}
-		if relays == maxRelays {
-			break
-		}
 		relays++
 		reply, err := d.run(ctx, a, began, hopTime, &d.relayed, func(ctx context.Context, a attempt.Attempt) (target.Reply, error) {
 			return d.functions.Relay(ctx, owner.Peer, a)
 		})
+		shown := resultOf(err)
+		d.avoidance.end(owner.Peer, probe, shown)
 		if err == nil {
 			return reply, nil
 		}
 		failure := failureOf(err)
-		if failure.Outcome != target.NotRun || !d.isPassedOn(owner.Peer, err, failure) {
+		isLeaving := failure.Outcome == target.NotRun && failure.Code == target.OwnerLeaving
+		if shown != unreached && !isLeaving {
 			return target.Reply{}, failure
 		}
 		d.relayed.Add(^uint64(0))
@@ -122,17 +123,30 @@
 	return d.run(ctx, a, began, 0, &d.direct, d.functions.Direct)
 }
 
-// isPassedOn reports whether the next instance in order may run what this peer did not: the peer was not reached, or it leaves.
-// A target that the owner cannot reach is left to the choice of another replica.
-func (d *Dispatcher) isPassedOn(address netip.AddrPort, err error, failure *target.Failure) bool {
-	var unreached *peer.Unreached
-	if errors.As(err, &unreached) && failure.Code == target.Unreachable {
-		d.remember(address)
+// resultOf returns what a relay that ended with err showed of the peer. A refusal that came from the peer itself, as that of
+// a target which it cannot reach, shows that it was reached.
+func resultOf(err error) result {
+	var (
+		withoutConnection *peer.Unreached
+		withoutByte       *peer.Silent
+		failure           *target.Failure
+	)
+	switch {
+	case err == nil:
+		return reached
+	case errors.As(err, &withoutConnection):
+		if withoutConnection.Outcome == target.NotRun && withoutConnection.Code == target.Unreachable {
+			return unreached
+		}
 
-		return true
+		return unclear
+	case errors.As(err, &withoutByte):
+		return silent
+	case errors.As(err, &failure) && failure.Outcome == target.NotRun && failure.Code != target.Cancelled && failure.Code != target.TooLate:
+		return reached
+	default:
+		return unclear
 	}
-
-	return failure.Code == target.OwnerLeaving
 }
 
 // HandleRelay runs an attempt of a peer. It never relays: two instances with different views of ownership would otherwise
@@ -174,25 +188,3 @@
 
 	return &target.Failure{Outcome: target.Unknown, Code: target.Broken, Message: fmt.Sprintf("relay: %v", err)}
 }
-
-func (d *Dispatcher) avoids(address netip.AddrPort) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	until, ok := d.avoid[address]
-	if ok && !d.timers.Now().Before(until) {
-		delete(d.avoid, address)
-
-		return false
-	}
-
-	return ok
-}
-
-func (d *Dispatcher) remember(address netip.AddrPort) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.avoid) >= maxAvoided {
-		clear(d.avoid)
-	}
-	d.avoid[address] = d.timers.Now().Add(avoidTime)
-}
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcconn"
@@ -33,6 +34,10 @@
 	DefaultIdle = time.Minute
 )
 
+// connectShare is the share of the time of an attempt that it spends on getting a connection. Two peers are tried at most, so a
+// third each leaves one for the attempt itself. Of the deadline of 170 ms it is above the two round trips between regions.
+const connectShare = 3
+
 // controlPool is the number of calls of the control plane to one peer at a time.
 const controlPool = 2
 
@@ -95,11 +100,12 @@
 		pools:   make(map[poolKey]*pool),
 		all:     make(map[*link]struct{}),
 		dial:    c.dial,
-		now:     timers.Now,
+		timers:  timers,
 		relay:   DefaultPool,
 		waiters: DefaultWaiters,
 		idle:    DefaultIdle,
 	}
+	c.pools.ctx, c.pools.stop = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(c)
 	}
@@ -123,17 +129,32 @@
 	return u.Failure
 }
 
+// Silent is the failure of a relay that was handed to a connection, while the peer sent no byte on any connection for
+// relays in all of the time of the attempt. The attempt may have run.
+type Silent struct {
+	*target.Failure
+}
+
+// Unwrap makes the *target.Failure visible to errors.As.
+func (s *Silent) Unwrap() error {
+	return s.Failure
+}
+
 // Relay runs a at the peer. An error is or wraps a *target.Failure: that of the peer, an Unreached with NotRun when no byte of
-// the request was handed to a connection, or Unknown.
+// the request was handed to a connection, or Unknown, as a Silent when the peer sent nothing.
 func (c *Client) Relay(ctx context.Context, to netip.AddrPort, a attempt.Attempt) (target.Reply, error) {
 	var out relayReply
-	timeout := a.Query.Timeout.Std() + relaySlack
-	handed, err := c.call(ctx, poolKey{address: to}, timeout, rpcRelay, &relayRequest{Sender: c.sender, Attempt: a}, &out)
+	timeout := a.Query.Timeout.Std()
+	patience := patience{call: timeout + relaySlack, connect: timeout / connectShare, silent: timeout}
+	handed, silent, err := c.call(ctx, poolKey{address: to}, patience, rpcRelay, &relayRequest{Sender: c.sender, Attempt: a}, &out)
 	switch {
 	case err != nil:
 		failure := relayFailure(ctx, handed, err)
-		if !handed {
+		switch {
+		case !handed:
 			return target.Reply{}, &Unreached{Failure: failure}
+		case silent:
+			return target.Reply{}, &Silent{Failure: failure}
 		}
 
 		return target.Reply{}, failure
@@ -229,28 +250,35 @@
 }
 
 func (c *Client) control(ctx context.Context, to netip.AddrPort, rpc string, in, out any) error {
-	_, err := c.call(ctx, poolKey{address: to, control: true}, c.callTimeout, rpc, in, out)
+	patience := patience{call: c.callTimeout, connect: c.callTimeout, silent: c.callTimeout}
+	_, _, err := c.call(ctx, poolKey{address: to, control: true}, patience, rpc, in, out)
 
 	return Error.Wrap(err)
 }
 
-// call makes one call and reports whether a byte of the request was handed to a connection.
+// patience is how long a call may take, may wait for a connection, and waits for a first byte until the peer counts as silent.
+type patience struct {
+	call, connect, silent time.Duration
+}
+
+// call makes one call and reports whether a byte of the request was handed to a connection, and if the peer was silent.
 func (c *Client) call(
 	ctx context.Context,
 	key poolKey,
-	timeout time.Duration,
+	patience patience,
 	rpc string,
 	in, out any,
-) (handed bool, err error) {
+) (handed, silent bool, err error) {
 	data, err := encoding{}.Marshal(in)
 	if err != nil {
-		return false, err
+		return false, false, err
 	}
-	ctx, cancel := c.timers.WithTimeout(ctx, timeout)
+	ctx, cancel := c.timers.WithTimeout(ctx, patience.call)
 	defer cancel()
-	l, err := c.pools.acquire(ctx, key)
+	began := c.timers.Now()
+	l, heard, err := c.pools.acquire(ctx, key, patience.connect)
 	if err != nil {
-		return false, err
+		return false, false, err
 	}
 	written, read := l.transport.written.Load(), l.transport.read.Load()
 	err = l.invoke(ctx, rpc, encoded(data), out)
@@ -263,26 +291,31 @@
 	default:
 		l.silent++
 	}
-	if err != nil && (errors.Is(ctx.Err(), context.DeadlineExceeded) || l.silent >= maxSilent) {
+	silent = err != nil && ctx.Err() != nil && l.transport.heard.Load() == heard && c.timers.Since(began) >= patience.silent
+	if err != nil && (errors.Is(ctx.Err(), context.DeadlineExceeded) || silent || l.silent >= maxSilent) {
 		keep = false
 	}
-	c.pools.release(key, l, keep)
+	var silentSince time.Time
+	if silent {
+		silentSince = began
+	}
+	c.pools.release(key, l, keep, silentSince)
 	if err != nil && ctx.Err() != nil {
 		// drpc reports a connection closed by the cancellation in several ways.
 		err = fmt.Errorf("%w: %w", ctx.Err(), err)
 	}
 
-	return handed, err
+	return handed, silent, err
 }
 
-func (c *Client) dial(ctx context.Context, address netip.AddrPort) (l *link, err error) {
+func (c *Client) dial(ctx context.Context, address netip.AddrPort, heard *atomic.Uint64) (l *link, err error) {
 	ctx, cancel := c.timers.WithTimeout(ctx, c.dialTimeout)
 	defer cancel()
 	raw, err := c.dialer(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	transport := &countedConn{Conn: raw}
+	transport := &countedConn{Conn: raw, heard: heard}
 	l = &link{
 		transport: transport,
 		conn:      drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions(0)}),
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -208,6 +208,27 @@
 		Entry("an attempt that does not check", func(a *attempt.Attempt) { a.Query.Shard = 99 }, target.BadQuery),
 	)
 
+	It("gives up a dial that takes long in time for another peer, and leaves the connection to later attempts", func() {
+		dialed := make(chan struct{})
+		var dials atomic.Int32
+		r := newRig(relay(answer), peer.WithDialer(func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			dials.Add(1)
+			<-dialed
+
+			return new(net.Dialer).DialContext(ctx, "tcp", address.String())
+		}))
+		a := newAttempt()
+		a.Query.Timeout = duration.Duration(60 * time.Millisecond)
+		for range 2 {
+			_, err := r.client.Relay(context.Background(), r.address, a)
+			expectFailure(err, target.NotRun, target.Unreachable)
+		}
+		Expect(dials.Load()).To(BeEquivalentTo(1), "the second attempt would only have hung too")
+		close(dialed)
+		_, err := r.client.Relay(context.Background(), r.address, newAttempt())
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("is Unknown when the connection breaks after the request, and the next call dials", func() {
 		var r *rig
 		first := true
