--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -79,7 +79,22 @@
 	conflictProbes = 8
 	// repeatFactor times the binary logarithm of the fleet is the number of messages that carry an update.
 	repeatFactor = 3
-	maxSeeds     = 1024
+	// newsAge is the time for which an update is repeated. Every member hears it in half of that time. When hundreds of
+	// members are lost at once, repeating all the updates would take minutes: they would hold up the news of the next loss, and
+	// after the end of a partition they would fail members that live.
+	newsAge = 30 * time.Second
+	// lossWindow is the time in which two losses in an availability zone count as one event, which may have taken
+	// more of its members. It is twice the time until a single loss is known to all.
+	lossWindow = 20 * time.Second
+	// lossProbes is the number of members of the zone that are probed first for each loss after the first one.
+	lossProbes = 1
+	// maxFirst bounds the members to probe first to those of a few seconds. After a partition the tables of others name
+	// hundreds.
+	maxFirst = 8
+	// calm is the time after the last loss from which tables are exchanged. Before that, the tables of any two differ
+	// and would be sent whole, while news still make them equal.
+	calm     = 10 * time.Second
+	maxSeeds = 1024
 )
 
 // Calls are the calls to other instances. The methods of peer.Client have their signatures.
@@ -101,6 +116,8 @@
 type member struct {
 	instance.Instance
 	changed time.Time
+	// answered is when it last answered this instance.
+	answered time.Time
 	// deadline is when a suspicion ends, and asked says that this instance has asked the suspect before that end.
 	deadline time.Time
 	asked    bool
@@ -109,7 +126,10 @@
 // update is news that messages carry until it was sent often enough.
 type update struct {
 	instance.Instance
-	sent int
+	sent  int
+	since time.Time
+	// order is random, so that instances with the same news do not all send the same part of it first.
+	order uint64
 }
 
 // Membership is the view that one instance has of the fleet. It is safe for concurrent use.
@@ -133,9 +153,10 @@
 	self     instance.Instance
 	members  map[string]*member
 	news     map[string]*update
+	first    []string // members to probe before others, the last one first, as they may be lost
 	own      []string // members of this zone still to be probed in this round
 	others   []string // members of other zones still to be probed in this round
-	urgent   bool     // news that cannot wait for the next probe
+	urgent   int      // members to tell of news that cannot wait for the next probe
 	doubted  []string // suspects to ask again at once
 	steps    int
 	probes   int
@@ -144,6 +165,8 @@
 	joinAt   time.Time
 	joinWait time.Duration
 	syncAt   time.Time
+	syncBy   time.Time // the exchange is put off until then at most
+	lostAt   time.Time // when a member was last suspected or failed
 	retryAt  time.Time
 	changed  []instance.Instance // not yet given to onChange
 	dropped  uint64
@@ -217,6 +240,7 @@
 	m.joinAt, m.joinWait = now, Period
 	// The first exchange is at a random time, so that instances that start together do not exchange together.
 	m.syncAt = now.Add(time.Duration(m.random.Int64N(int64(SyncPeriod))))
+	m.syncBy = m.syncAt
 	m.retryAt = now.Add(time.Duration(m.random.Int64N(int64(ReconnectPeriod))))
 	m.renew()
 
--- a/internal/fleet/membership/merge.go
+++ b/internal/fleet/membership/merge.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -8,30 +10,64 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/wire/peer"
 	"github.com/hickorynotch/hickorynotch/internal/world/instance"
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
 )
 
 // compose returns the gossip for the named instance. What is wrongly believed of it comes first, so that it can refute.
 func (m *Membership) compose(to string) peer.Gossip {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+
+	return m.gossip(to, nil)
+}
+
+// composeReply returns the gossip that answers received. It corrects first what the sender knows less well.
+func (m *Membership) composeReply(received peer.Gossip) peer.Gossip {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var corrections []instance.Instance
+	for _, u := range received.Updates {
+		if known := m.members[u.Name]; known != nil && known.Supersedes(u) {
+			corrections = append(corrections, known.Instance)
+		}
+	}
+
+	return m.gossip(received.Self.Name, corrections)
+}
+
+// composeProbe returns the gossip of a ping. A member that is not alive gets only what is believed of it: most such pings are
+// lost, and the news on them would count as told.
+func (m *Membership) composeProbe(to string) peer.Gossip {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known := m.members[to]; known != nil && known.State != instance.Alive {
+		return peer.Gossip{Self: m.self, Revision: m.currentRevision(), Updates: []instance.Instance{known.Instance}}
+	}
+
+	return m.gossip(to, nil)
+}
+
+// gossip returns the gossip for the named instance with some updates first. The caller holds mu.
+func (m *Membership) gossip(to string, first []instance.Instance) peer.Gossip {
 	gossip := peer.Gossip{Self: m.self, Revision: m.currentRevision()}
 	if known := m.members[to]; known != nil && known.State != instance.Alive {
 		gossip.Updates = append(gossip.Updates, known.Instance)
 	}
+	gossip.Updates = append(gossip.Updates, first[:min(len(first), peer.MaxUpdates-len(gossip.Updates))]...)
+	now := m.timers.Now()
 	pending := make([]*update, 0, len(m.news))
 	for name, u := range m.news {
-		if name != to {
+		switch {
+		case now.Sub(u.since) >= newsAge:
+			delete(m.news, name)
+		case name != to && !slices.Contains(gossip.Updates, u.Instance):
 			pending = append(pending, u)
 		}
 	}
 	slices.SortFunc(pending, func(a, b *update) int {
-		if a.sent != b.sent {
-			return a.sent - b.sent
-		}
-
-		return byName(a.Instance, b.Instance)
+		return cmp.Or(a.sent-b.sent, cmp.Compare(a.order, b.order))
 	})
-	limit := repeatFactor * int(math.Ceil(math.Log2(float64(len(m.members)+2))))
+	limit := m.repeats()
 	for _, u := range pending {
 		if len(gossip.Updates) >= peer.MaxUpdates {
 			break
@@ -94,6 +130,10 @@
 		case u.State == instance.Suspect:
 			u.State = instance.Alive
 		case u.State == instance.Failed && (known == nil || usable(known.State)):
+			if known != nil && known.State == instance.Alive && u.Supersedes(known.Instance) {
+				m.probeFirst(u.Name)
+			}
+
 			return
 		}
 	}
@@ -118,12 +158,12 @@
 	m.self.Incarnation = min(u.Incarnation+1, instance.MaxIncarnation)
 	m.log.Log(event.MemberRefuting, "State", u.State, "Incarnation", m.self.Incarnation)
 	m.announce()
-	m.urgent = true
+	m.urgent = urgentMessages
 }
 
 // announce spreads the state of this instance. The caller holds mu.
 func (m *Membership) announce() {
-	m.news[m.self.Name] = &update{Instance: m.self}
+	m.tell(m.self, m.timers.Now())
 	m.changed = append(m.changed, m.self)
 	m.renew()
 }
@@ -171,12 +211,18 @@
 		known.deadline = now.Add(m.suspicion())
 		known.asked = false
 	}
-	m.news[u.Name] = &update{Instance: u}
+	m.tell(u, now)
 	m.renew()
 	if before == u {
 		return
 	}
 	m.changed = append(m.changed, u)
+	if u.State == instance.Suspect || u.State == instance.Failed {
+		m.lostAt = now
+	}
+	if u.State == instance.Suspect {
+		m.search(u, now)
+	}
 
 	about := []any{"Instance", u.Name, "AvailabilityZone", u.AvailabilityZone, "Incarnation", u.Incarnation}
 	switch {
@@ -191,6 +237,74 @@
 	}
 }
 
+// tell makes u news that messages carry. The caller holds mu.
+func (m *Membership) tell(u instance.Instance, now time.Time) {
+	next := &update{Instance: u, since: now, order: m.random.Uint64()}
+	if told := m.news[u.Name]; told != nil && told.State == instance.Suspect && u.State == instance.Failed {
+		// Those who were told of the suspicion fail the member without being told.
+		next.sent = min(told.sent, m.repeats()/2)
+	}
+	m.news[u.Name] = next
+}
+
+// repeats is the number of messages that carry an update. The caller holds mu.
+func (m *Membership) repeats() int {
+	return repeatFactor * int(math.Ceil(math.Log2(float64(len(m.members)+2))))
+}
+
+// search has further members of the zone of u probed first when another one was lost shortly before: a rack or a whole zone may be
+// gone. In turn, the probes of all members took 15 s to find all of 29 lost ones. The caller holds mu.
+func (m *Membership) search(u instance.Instance, now time.Time) {
+	if !m.isLossy(u, now) {
+		return
+	}
+	for _, i := range m.sample(lossProbes, func(known *member) bool {
+		return known.State == instance.Alive && known.AvailabilityZone == u.AvailabilityZone
+	}) {
+		m.probeFirst(i.Name)
+	}
+}
+
+// gone returns the zones of which at least half of the members were lost shortly before, with the time of the first loss.
+// The caller holds mu.
+func (m *Membership) gone(now time.Time) map[zone.Zone]time.Time {
+	lost := make(map[zone.Zone]int)
+	first := make(map[zone.Zone]time.Time)
+	for _, known := range m.members {
+		switch {
+		case known.State == instance.Alive:
+			lost[known.AvailabilityZone]--
+		case known.State != instance.Leaving && now.Sub(known.changed) < lossWindow:
+			lost[known.AvailabilityZone]++
+			if at, ok := first[known.AvailabilityZone]; !ok || known.changed.Before(at) {
+				first[known.AvailabilityZone] = known.changed
+			}
+		}
+	}
+	maps.DeleteFunc(first, func(z zone.Zone, _ time.Time) bool { return lost[z] < 0 })
+
+	return first
+}
+
+// isLossy reports whether another member of the zone of u was lost shortly before. The caller holds mu.
+func (m *Membership) isLossy(u instance.Instance, now time.Time) bool {
+	for _, known := range m.members {
+		if known.Name != u.Name && known.AvailabilityZone == u.AvailabilityZone &&
+			(known.State == instance.Suspect || known.State == instance.Failed) && now.Sub(known.changed) < lossWindow {
+			return true
+		}
+	}
+
+	return false
+}
+
+// probeFirst puts a member before those that are probed in turn. The caller holds mu.
+func (m *Membership) probeFirst(name string) {
+	if !slices.Contains(m.first, name) {
+		m.first = append(m.first[max(0, len(m.first)+1-maxFirst):], name)
+	}
+}
+
 // expire ends suspicions and forgets instances that are long gone. Members that are alive are left out, because sorting all
 // names at every step was half of the processor time of membership. The caller holds mu.
 func (m *Membership) expire(now time.Time) {
@@ -202,10 +316,15 @@
 	}
 	slices.Sort(names)
 	asked := 0
+	var gone map[zone.Zone]time.Time
+	if len(names) > 0 {
+		gone = m.gone(now)
+	}
 	for _, name := range names {
 		known := m.members[name]
+		_, isGone := gone[known.AvailabilityZone]
 		switch {
-		case known.State == instance.Suspect && !now.Before(known.deadline) && !known.asked && asked < lastQuestions:
+		case known.State == instance.Suspect && !now.Before(known.deadline) && !known.asked && asked < lastQuestions && !isGone:
 			// A refutation may have been lost, so this instance asks once itself.
 			asked++
 			known.asked = true
@@ -238,8 +357,13 @@
 			next.State = instance.Failed
 		}
 		if next.State != known.State {
+			if m.isLossy(next, now) {
+				// Of several losses many instances tell at once.
+				m.urgent = max(m.urgent, 1)
+			} else {
+				m.urgent = urgentMessages
+			}
 			m.set(known, next, now)
-			m.urgent = true
 		}
 	}
 	m.finish(instance.Instance{}, 0)
--- a/internal/fleet/membership/probe.go
+++ b/internal/fleet/membership/probe.go
@@ -116,7 +116,7 @@
 // due returns the tasks that are due. The caller holds mu.
 func (m *Membership) due(now time.Time) (due []kind) {
 	m.steps++
-	if m.urgent || len(m.doubted) > 0 {
+	if m.urgent > 0 || len(m.doubted) > 0 {
 		due = append(due, spreading)
 	}
 	alone := !slices.ContainsFunc(m.Live(), func(i instance.Instance) bool { return i.Name != m.self.Name })
@@ -132,8 +132,9 @@
 	if m.steps%stepsPerPeriod == 0 {
 		due = append(due, probing)
 	}
-	if !now.Before(m.syncAt) {
+	if !now.Before(m.syncAt) && (now.Sub(m.lostAt) >= calm || !now.Before(m.syncBy)) {
 		m.syncAt = now.Add(SyncPeriod)
+		m.syncBy = m.syncAt.Add(SyncPeriod)
 		due = append(due, syncing)
 	}
 	if !now.Before(m.retryAt) {
@@ -164,6 +165,9 @@
 func (m *Membership) next() (instance.Instance, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if i, ok := m.nextLost(m.timers.Now()); ok {
+		return i, true
+	}
 	m.probes++
 	first, second := &m.own, &m.others
 	if m.probes%otherZoneEvery == 0 {
@@ -178,6 +182,29 @@
 	return instance.Instance{}, false
 }
 
+// nextLost returns a member that is more likely lost than others: one that is left of a zone that is mostly gone and has not
+// answered since, or one to probe first. The caller holds mu.
+func (m *Membership) nextLost(now time.Time) (instance.Instance, bool) {
+	if gone := m.gone(now); len(gone) > 0 {
+		for _, i := range m.sample(1, func(known *member) bool {
+			since, ok := gone[known.AvailabilityZone]
+
+			return ok && known.State == instance.Alive && known.answered.Before(since)
+		}) {
+			return i, true
+		}
+	}
+	for len(m.first) > 0 {
+		name := m.first[len(m.first)-1]
+		m.first = m.first[:len(m.first)-1]
+		if known := m.members[name]; known != nil && known.State == instance.Alive {
+			return known.Instance, true
+		}
+	}
+
+	return instance.Instance{}, false
+}
+
 // draw takes the next name off list, which it fills again when it is used up. The caller holds mu.
 func (m *Membership) draw(list *[]string, own bool) (instance.Instance, bool) {
 	for range 2 {
@@ -227,7 +254,7 @@
 }
 
 func (m *Membership) ping(ctx context.Context, u instance.Instance) bool {
-	return m.pingWith(ctx, u, m.compose(u.Name))
+	return m.pingWith(ctx, u, m.composeProbe(u.Name))
 }
 
 func (m *Membership) pingWith(ctx context.Context, u instance.Instance, gossip peer.Gossip) bool {
@@ -256,15 +283,23 @@
 	}
 	m.received(reply)
 	m.take(reply)
+	if reply.Self.Name != u.Name {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known := m.members[u.Name]; known != nil {
+		known.answered = m.timers.Now()
+	}
 
-	return reply.Self.Name == u.Name
+	return true
 }
 
 // HandlePing answers the ping of another instance.
 func (m *Membership) HandlePing(_ context.Context, _ peer.Sender, gossip peer.Gossip) (peer.Gossip, error) {
 	m.received(gossip)
 	m.take(gossip)
-	reply := m.compose(gossip.Self.Name)
+	reply := m.composeReply(gossip)
 	m.sent(reply)
 
 	return reply, nil
@@ -283,7 +318,7 @@
 	m.take(gossip)
 	ctx, cancel := m.timers.WithTimeout(ctx, PingTimeout)
 	defer cancel()
-	own := m.compose(u.Name)
+	own := m.composeProbe(u.Name)
 	m.sent(own)
 	reply, err = m.calls.Ping(ctx, u.Peer, own)
 	if err != nil {
@@ -311,8 +346,8 @@
 func (m *Membership) spread(ctx context.Context, run func(...func())) {
 	m.mu.Lock()
 	var told []instance.Instance
-	if m.urgent {
-		told = m.sample(urgentMessages, func(known *member) bool {
+	if m.urgent > 0 {
+		told = m.sample(m.urgent, func(known *member) bool {
 			return usable(known.State) && !slices.Contains(m.doubted, known.Name)
 		})
 	}
@@ -321,7 +356,7 @@
 			told = append(told, doubted.Instance)
 		}
 	}
-	m.urgent, m.doubted = false, nil
+	m.urgent, m.doubted = 0, nil
 	m.mu.Unlock()
 	m.pingAll(ctx, told, run)
 }
