Spend fewer messages on each of many losses in a zone

A zone counts as mostly gone from four losses on, so that one failure in a zone of two does not change how suspicions end. design.md weighs the ways.

--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -86,6 +86,9 @@
 	// lossWindow is the time in which two losses in an availability zone count as one event, which may have taken
 	// more of its members. It is twice the time until a single loss is known to all.
 	lossWindow = 20 * time.Second
+	// manyLosses is the number of losses in a zone from which each further one gets fewer messages, because many
+	// instances notice it at once. It is above the losses that lost messages alone feign.
+	manyLosses = 4
 	// lossProbes is the number of members of the zone that are probed first for each loss after the first one.
 	lossProbes = 1
 	// maxFirst bounds the members to probe first to those of a few seconds. After a partition the tables of others name
--- a/internal/fleet/membership/merge.go
+++ b/internal/fleet/membership/merge.go
@@ -255,7 +255,7 @@
 // search has further members of the zone of u probed first when another one was lost shortly before: a rack or a whole zone may be
 // gone. In turn, the probes of all members took 15 s to find all of 29 lost ones. The caller holds mu.
 func (m *Membership) search(u instance.Instance, now time.Time) {
-	if !m.isLossy(u, now) {
+	if m.losses(u, now) == 0 {
 		return
 	}
 	for _, i := range m.sample(lossProbes, func(known *member) bool {
@@ -265,15 +265,16 @@
 	}
 }
 
-// gone returns the zones of which at least half of the members were lost shortly before, with the time of the first loss.
+// gone returns the zones of which at least half of the members, and many, were lost shortly before, with the time of the
+// first loss.
 // The caller holds mu.
 func (m *Membership) gone(now time.Time) map[zone.Zone]time.Time {
-	lost := make(map[zone.Zone]int)
+	lost, alive := make(map[zone.Zone]int), make(map[zone.Zone]int)
 	first := make(map[zone.Zone]time.Time)
 	for _, known := range m.members {
 		switch {
 		case known.State == instance.Alive:
-			lost[known.AvailabilityZone]--
+			alive[known.AvailabilityZone]++
 		case known.State != instance.Leaving && now.Sub(known.changed) < lossWindow:
 			lost[known.AvailabilityZone]++
 			if at, ok := first[known.AvailabilityZone]; !ok || known.changed.Before(at) {
@@ -281,21 +282,21 @@
 			}
 		}
 	}
-	maps.DeleteFunc(first, func(z zone.Zone, _ time.Time) bool { return lost[z] < 0 })
+	maps.DeleteFunc(first, func(z zone.Zone, _ time.Time) bool { return lost[z] < max(manyLosses, alive[z]) })
 
 	return first
 }
 
-// isLossy reports whether another member of the zone of u was lost shortly before. The caller holds mu.
-func (m *Membership) isLossy(u instance.Instance, now time.Time) bool {
+// losses returns how many other members of the zone of u were lost shortly before. The caller holds mu.
+func (m *Membership) losses(u instance.Instance, now time.Time) (count int) {
 	for _, known := range m.members {
 		if known.Name != u.Name && known.AvailabilityZone == u.AvailabilityZone &&
 			(known.State == instance.Suspect || known.State == instance.Failed) && now.Sub(known.changed) < lossWindow {
-			return true
+			count++
 		}
 	}
 
-	return false
+	return count
 }
 
 // probeFirst puts a member before those that are probed in turn. The caller holds mu.
@@ -357,8 +358,7 @@
 			next.State = instance.Failed
 		}
 		if next.State != known.State {
-			if m.isLossy(next, now) {
-				// Of several losses many instances tell at once.
+			if m.losses(next, now) >= manyLosses {
 				m.urgent = max(m.urgent, 1)
 			} else {
 				m.urgent = urgentMessages
--- a/internal/fleet/membership/probe.go
+++ b/internal/fleet/membership/probe.go
@@ -236,7 +236,11 @@
 		return
 	}
 	m.mu.Lock()
-	helpers := m.sample(indirectProbes, func(known *member) bool {
+	count := indirectProbes
+	if m.losses(u, began) >= manyLosses {
+		count = 1
+	}
+	helpers := m.sample(count, func(known *member) bool {
 		return known.State == instance.Alive && known.Name != u.Name
 	})
 	m.mu.Unlock()
