--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -355,6 +355,10 @@
 
 	It("carries each call and its reply", func() {
 		var pushed []byte
+		var passed peer.Listing
+		listing := peer.Listing{
+			Age: duration.Duration(time.Second), Leaving: []netip.AddrPort{self.Peer}, Seeds: []netip.AddrPort{self.Peer},
+		}
 		r := newRig([]peer.ServerOption{
 			peer.WithPing(func(_ context.Context, _ peer.Sender, g peer.Gossip) (peer.Gossip, error) { return g, nil }),
 			peer.WithPingRequest(func(_ context.Context, _ peer.Sender, m instance.Instance, _ peer.Gossip) (peer.Gossip, error) {
@@ -365,6 +369,11 @@
 			peer.WithPush(func(_ context.Context, _ peer.Sender, raw []byte) error {
 				pushed = raw
 
+				return nil
+			}),
+			peer.WithListing(func(_ context.Context, _ peer.Sender, l peer.Listing) error {
+				passed = l
+
 				return nil
 			}),
 		})
@@ -375,6 +384,8 @@
 		Expect(r.client.Configuration(ctx, r.address, 5)).To(Equal([]byte{5}))
 		Expect(r.client.Push(ctx, r.address, []byte("{}"))).To(Succeed())
 		Expect(string(pushed)).To(Equal("{}"))
+		Expect(r.client.PassListing(ctx, r.address, listing)).To(Succeed())
+		Expect(passed).To(Equal(listing))
 	})
 
 	DescribeTable("refuses messages over their bounds, which would let one peer exhaust another's memory",
@@ -409,6 +420,12 @@
 
 			return err
 		}, "Record: expands to over 1048576 bytes"),
+		Entry("too many leaving targets", func(r *rig) error {
+			return r.client.PassListing(context.Background(), r.address, peer.Listing{Leaving: make([]netip.AddrPort, peer.MaxLeaving+1)})
+		}, "Listing.Leaving: 8193 entries, at most 8192 are accepted"),
+		Entry("a listing from the future", func(r *rig) error {
+			return r.client.PassListing(context.Background(), r.address, peer.Listing{Age: -1})
+		}, "Listing.Age: -1ns is not within 0 to 1m0s"),
 		Entry("a call that the server lacks", func(r *rig) error {
 			_, err := r.client.Configuration(context.Background(), r.address, 1)
 
