Count status polls and their bytes in the control bench

Cause: the cost of the status poll was extrapolated from one poll, since the bench configured one replica at which nothing listens.

Change: the idle fleets of `benchcontrol live` poll 48 stand-in targets, which count polls and bytes.

--- a/internal/bench/control/fleet.go
+++ b/internal/bench/control/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"strconv"
@@ -16,10 +17,15 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	standin "github.com/hickorynotch/hickorynotch/internal/standin/platform"
+	backend "github.com/hickorynotch/hickorynotch/internal/standin/target"
 	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	"github.com/hickorynotch/hickorynotch/internal/wire/target"
 	"github.com/hickorynotch/hickorynotch/internal/world/zone"
 )
 
+// liveReplicas is the number of stand-in targets, so that each instance owns some of its zone's at every size.
+const liveReplicas = 48
+
 var liveZones = []zone.Zone{"Kochi", "Thrissur", "Kozhikode"}
 
 // traffic counts the bytes that one side of connections wrote and read.
@@ -102,6 +108,36 @@
 	return a.revision, a.at
 }
 
+// liveTargets are stand-in targets that count the polls of their status.
+type liveTargets struct {
+	addresses []netip.AddrPort
+	traffic   traffic
+	polls     atomic.Uint64
+}
+
+func (t *liveTargets) start(ctx context.Context) error {
+	timers := timer.New()
+	for i := range liveReplicas {
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		t.addresses = append(t.addresses, netip.MustParseAddrPort(listener.Addr().String()))
+		handler := backend.New(timers, backend.WithHoldings(target.Holding{Version: 1, Shard: i, Shards: liveReplicas})).Handler()
+		server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == target.StatusPath {
+				t.polls.Add(1)
+			}
+			handler.ServeHTTP(w, r)
+		})}
+		context.AfterFunc(ctx, func() { _ = server.Close() })
+		// The end of the stand-in is seen by the instances' polls.
+		go func() { _ = server.Serve(countedListener{Listener: listener, traffic: &t.traffic}) }()
+	}
+
+	return nil
+}
+
 type liveInstance struct {
 	entry   *entry.Entry
 	adopted adoption
@@ -114,6 +150,7 @@
 	platform  *standin.Platform
 	address   netip.AddrPort
 	store     traffic
+	targets   liveTargets
 	instances []*liveInstance
 	byPeer    map[netip.AddrPort]*liveInstance
 	wake      chan struct{}
@@ -136,6 +173,11 @@
 		return nil, err
 	}
 	f.address = netip.MustParseAddrPort(listener.Addr().String())
+	if err := f.targets.start(ctx); err != nil {
+		stop()
+
+		return nil, err
+	}
 	// The end of the stand-in is seen by the instances' calls.
 	go func() { _ = f.platform.Serve(ctx, countedListener{Listener: listener, traffic: &f.store}) }()
 	for i := range size {
--- a/internal/bench/control/live.go
+++ b/internal/bench/control/live.go
@@ -58,6 +58,11 @@
 	PeerBytesReceivedASecond     float64
 	PlatformBytesSentASecond     float64
 	PlatformBytesReceivedASecond float64
+	// TargetBytesASecond is that of status polls in both directions.
+	TargetBytesASecond float64
+	// PollsASecond is the number of status polls at one of Targets targets.
+	Targets      int
+	PollsASecond float64
 	// Cores includes the garbage collector and the stand-in platform.
 	Cores     float64
 	HeapBytes float64
@@ -135,7 +140,9 @@
 		return Idle{}, err
 	}
 	defer f.close()
-	if _, err := newOperator(f).apply(ctx); err != nil {
+	o := newOperator(f)
+	o.replicas, o.address = liveReplicas, func(i int) netip.AddrPort { return f.targets.addresses[i] }
+	if _, err := o.apply(ctx); err != nil {
 		return Idle{}, err
 	}
 	if err := f.settle(ctx); err != nil {
@@ -146,6 +153,7 @@
 	}
 	calls, sent, processor, began := f.platform.Calls(), f.peerBytes(), processorTime(), time.Now()
 	fromStore, toStore := f.store.written.Load(), f.store.read.Load()
+	polls, polled := f.targets.polls.Load(), f.targets.traffic.written.Load()+f.targets.traffic.read.Load()
 	if err := sleep(ctx, idleTime); err != nil {
 		return Idle{}, err
 	}
@@ -160,6 +168,9 @@
 		PeerBytesSentASecond:         each(f.peerBytes() - sent),
 		PlatformBytesSentASecond:     each(f.store.read.Load() - toStore),
 		PlatformBytesReceivedASecond: each(f.store.written.Load() - fromStore),
+		TargetBytesASecond:           each(f.targets.traffic.written.Load() + f.targets.traffic.read.Load() - polled),
+		Targets:                      liveReplicas,
+		PollsASecond:                 float64(f.targets.polls.Load()-polls) / window.Seconds() / liveReplicas,
 		Cores:                        (processorTime() - processor).Seconds() / window.Seconds() / float64(size),
 	}
 	idle.PeerBytesReceivedASecond = idle.PeerBytesSentASecond
@@ -187,9 +198,11 @@
 
 // operator applies changes. It names no availability zone, so faults for zones do not reach it.
 type operator struct {
-	fleet   *liveFleet
-	applier *configuration.Applier
-	applied int
+	fleet    *liveFleet
+	applier  *configuration.Applier
+	applied  int
+	replicas int
+	address  func(i int) netip.AddrPort
 }
 
 func newOperator(f *liveFleet) *operator {
@@ -198,6 +211,9 @@
 	return &operator{
 		fleet:   f,
 		applier: configuration.NewApplier(timers, configuration.WithApplierStore(platform.NewClient(f.address, timers))),
+		// Nothing listens at the replica, so a poll of it is refused at once.
+		replicas: 1,
+		address:  func(int) netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:1") },
 	}
 }
 
@@ -206,9 +222,7 @@
 	ctx, cancel := context.WithTimeout(ctx, liveLimit)
 	defer cancel()
 	o.applied++
-	// Nothing listens at the replica, so a poll of it is refused at once.
-	nowhere := func(int) netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:1") }
-	base, err := newBase(liveZones, 1, nowhere, o.applied)
+	base, err := newBase(liveZones, o.replicas, o.address, o.applied)
 	if err != nil {
 		return 0, err
 	}
@@ -315,11 +329,11 @@
 	_, _ = fmt.Fprintf(table, "Live instances over loopback, seed %d, %d cores\n", r.Seed, r.Cores)
 	_, _ = fmt.Fprint(table, titled("Idle fleet, for each instance unless stated"))
 	_, _ = fmt.Fprintln(table, "instances\tstore calls/s (fleet)\tlist calls/s (fleet)\tpeer B/s sent\tpeer B/s received\t"+
-		"platform B/s sent\tplatform B/s received\t% of a core\theap KB\tstack KB\t")
+		"platform B/s sent\tplatform B/s received\tpoll B/s\tpolls/s at a target\t% of a core\theap KB\tstack KB\t")
 	for _, i := range r.Idle {
-		_, _ = fmt.Fprintf(table, "%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t\n", i.Instances, i.StoreCallsASecond,
+		_, _ = fmt.Fprintf(table, "%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%.0f\t\n", i.Instances, i.StoreCallsASecond,
 			i.ListCallsASecond, i.PeerBytesSentASecond, i.PeerBytesReceivedASecond, i.PlatformBytesSentASecond,
-			i.PlatformBytesReceivedASecond, 100*i.Cores, i.HeapBytes/1024, i.StackBytes/1024)
+			i.PlatformBytesReceivedASecond, i.TargetBytesASecond, i.PollsASecond, 100*i.Cores, i.HeapBytes/1024, i.StackBytes/1024)
 	}
 	_, _ = fmt.Fprint(table, titled("Time from accepted to in force at every instance"))
 	_, _ = fmt.Fprintln(table, "instances\tstore\tapplies\tp50 / p99 / max\tstore calls for each change (fleet)\t")
