Poll each target by its owner and pass reports on between instances

Cause: every instance polled every target once a second. At the expected size this is 27% of a core and 1.18 MB/s for each instance, and 450 connections at a target with 25 (docs/CAPACITY.md).

Change: package fleet/polling polls the targets that the instance owns. A new report is pushed to three peers at once, each passes it on once, and comparisons of digests with one instance of each availability zone every second repair what was missed. The same contacts show who does not poll: the next instance of the zone takes over its targets, other zones those of a zone that they do not reach, and an instance that reaches no other polls all. A new or paused instance takes the reports of others before it is ready. A drain that a reply shows is passed on too. Momentary load stays with polls and replies.

Ruled out: trust in the detection of failures for the targets of a killed owner, which takes 5 to 11 s (docs/CAPACITY.md) and is over the bound of 3 s.

--- /dev/null
+++ b/internal/fleet/polling/spread.go
@@ -0,0 +1,345 @@
+package polling
+
+import (
+	"context"
+	"math/bits"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/fleet/ownership"
+	"github.com/hickorynotch/hickorynotch/internal/value/set"
+	"github.com/hickorynotch/hickorynotch/internal/wire/peer"
+	"github.com/hickorynotch/hickorynotch/internal/world/instance"
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
+)
+
+const (
+	// pushes is the number of peers that each instance gives a new report, as with the configuration. The contacts of the next
+	// Period repair the 5% of a large fleet that three leave out.
+	pushes = 3
+	// pushBatch and pushGap bound what an instance pushes to 320 reports a second, at some 100 bytes each. A new version at
+	// all of 3,200 targets takes 10 s; drains are pushed first.
+	pushBatch = 64
+	pushGap   = 200 * time.Millisecond
+	// contactTimeout bounds a comparison. With a dial between regions it takes about 75 ms.
+	contactTimeout = 300 * time.Millisecond
+	// nextTries is the number of instances after this one in its zone that are asked in turn, and zoneTries that of another
+	// zone. All attempts together end within a Period.
+	nextTries = 3
+	zoneTries = 2
+	// maxZones bounds the zones that are contacted. Nine are expected.
+	maxZones = 16
+	// maxRepairs bounds the peers with which an instance exchanges reports in a Period.
+	maxRepairs = 3
+)
+
+// roundSeen is the round that an instance was in when it answered last.
+type roundSeen struct {
+	round uint64
+	at    time.Time
+}
+
+// answer is that of one instance to a comparison.
+type answer struct {
+	from instance.Instance
+	peer.Comparison
+}
+
+// Run contacts the other zones once every Period and pushes new reports until ctx ends.
+func (p *Poller) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { p.push(ctx) })
+	ticks := p.timers.Subscribe(Period)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticks.C:
+			p.contact(ctx, false)
+		}
+	}
+}
+
+// push passes on new reports until ctx ends.
+func (p *Poller) push(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.signal:
+		}
+		if p.flush(ctx) {
+			wake(p.signal)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.timers.After(pushGap):
+		}
+	}
+}
+
+// flush pushes one batch and reports whether it was full.
+func (p *Poller) flush(ctx context.Context) (more bool) {
+	reports := p.table.take(pushBatch)
+	if len(reports) == 0 {
+		return false
+	}
+	ctx, cancel := p.timers.WithTimeout(ctx, contactTimeout)
+	defer cancel()
+	var running sync.WaitGroup
+	for _, to := range p.choose() {
+		p.pushed.Add(uint64(len(reports)))
+		// A push that fails is not repeated, because a comparison shows what is missing.
+		running.Go(func() { _, _ = p.functions.Reports(ctx, to.Peer, reports, 0) })
+	}
+	running.Wait()
+
+	return len(reports) == pushBatch
+}
+
+// choose returns the peers to push to: those of the own zone first, but one of another zone when there is one.
+func (p *Poller) choose() []instance.Instance {
+	var own, others []instance.Instance
+	for _, i := range p.functions.Live() {
+		switch {
+		case i.Name == p.self.Name:
+		case i.AvailabilityZone == p.self.AvailabilityZone:
+			own = append(own, i)
+		default:
+			others = append(others, i)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range [][]instance.Instance{own, others} {
+		p.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	near := min(len(own), pushes-min(1, len(others)))
+
+	return append(own[:near:near], others[:min(len(others), pushes-near)]...)
+}
+
+// contact compares digests with the next instance of this zone and with one of each other zone, notes who does not
+// answer, and exchanges reports with those that differ: all that differ, or what one message carries.
+func (p *Poller) contact(ctx context.Context, all bool) {
+	p.contacting.Lock()
+	defer p.contacting.Unlock()
+	zones := make(map[zone.Zone][]instance.Instance)
+	for _, i := range p.functions.Live() {
+		if i.Name != p.self.Name && (len(zones) < maxZones || zones[i.AvailabilityZone] != nil) {
+			zones[i.AvailabilityZone] = append(zones[i.AvailabilityZone], i)
+		}
+	}
+	digest, _ := p.table.digests()
+	var (
+		mu      sync.Mutex
+		answers []answer
+		absent  set.Set[string]
+		cut     set.Set[zone.Zone]
+		running sync.WaitGroup
+	)
+	for z, members := range zones {
+		running.Go(func() {
+			order, tries := p.order(z, members)
+			for _, i := range order[:min(tries, len(order))] {
+				comparison, err := p.compare(ctx, i, digest)
+				mu.Lock()
+				if err == nil {
+					answers = append(answers, answer{i, comparison})
+				}
+				own := z == p.self.AvailabilityZone
+				polls := err == nil && (!own || p.advanced(i, comparison.Round))
+				if own && !polls {
+					absent.Add(i.Name)
+				}
+				mu.Unlock()
+				if polls {
+					return
+				}
+			}
+			if z != p.self.AvailabilityZone {
+				mu.Lock()
+				cut.Add(z)
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	if ctx.Err() != nil {
+		return
+	}
+	p.note(absent, cut, len(zones) > 0 && len(answers) == 0)
+	p.repair(ctx, answers, all)
+}
+
+// order returns the instances of a zone in the order in which they are asked, and how many are. Within the zone each
+// watches the one whose name follows its own, so that one alone takes over. In another zone each has its own peer, so
+// that connections are kept and all peers get the same load.
+func (p *Poller) order(z zone.Zone, members []instance.Instance) (order []instance.Instance, tries int) {
+	if z != p.self.AvailabilityZone {
+		return ownership.Rank(p.self.Name, members), zoneTries
+	}
+	after := slices.IndexFunc(members, func(i instance.Instance) bool { return i.Name > p.self.Name })
+	if after < 0 {
+		after = 0
+	}
+
+	return append(slices.Clone(members[after:]), members[:after]...), nextTries
+}
+
+func (p *Poller) compare(ctx context.Context, to instance.Instance, digest uint64) (peer.Comparison, error) {
+	ctx, cancel := p.timers.WithTimeout(ctx, contactTimeout)
+	defer cancel()
+
+	return p.functions.Compare(ctx, to.Peer, digest)
+}
+
+// advanced reports whether an instance that answered has polled since it answered last. One that answers but does not poll
+// would otherwise keep its targets for itself. The caller holds the mutex of the contact.
+func (p *Poller) advanced(i instance.Instance, round uint64) bool {
+	now := p.timers.Now()
+	last, ok := p.seen[i.Name]
+	if ok && last.round == round {
+		return now.Sub(last.at) < Period*3/4
+	}
+	if len(p.seen) > nextTries {
+		clear(p.seen)
+	}
+	p.seen[i.Name] = roundSeen{round: round, at: now}
+
+	return true
+}
+
+// note records who does not poll and has the targets polled that this instance takes over.
+func (p *Poller) note(absent set.Set[string], cut set.Set[zone.Zone], isolated bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if isolated == p.isolated && isEqual(absent, p.absent) && isEqual(cut, p.cut) {
+		return
+	}
+	p.absent, p.cut, p.isolated, p.reachable = absent, cut, isolated, nil
+	wake(p.changed)
+}
+
+func isEqual[T comparable](a, b set.Set[T]) bool {
+	for _, v := range a.Values() {
+		if !b.Has(v) {
+			return false
+		}
+	}
+
+	return a.Len() == b.Len()
+}
+
+// repair exchanges reports with the instances whose digest differs, until this instance's is one of theirs.
+func (p *Poller) repair(ctx context.Context, answers []answer, all bool) {
+	p.mu.Lock()
+	p.random.Shuffle(len(answers), func(i, j int) { answers[i], answers[j] = answers[j], answers[i] })
+	p.mu.Unlock()
+	repairs := 0
+	for _, a := range answers {
+		digest, buckets := p.table.digests()
+		if a.Digest == digest || len(a.Buckets) == 0 || repairs == maxRepairs {
+			continue
+		}
+		repairs++
+		p.repairs.Add(1)
+		var differ uint64
+		for i, b := range a.Buckets {
+			if b != buckets[i] {
+				differ |= 1 << i
+			}
+		}
+		for differ != 0 {
+			want := p.portion(differ)
+			differ &^= want
+			if p.exchange(ctx, a.from.Peer, want) != nil || !all {
+				break
+			}
+		}
+	}
+}
+
+// portion returns as many of the buckets as one message has room for.
+func (p *Poller) portion(differ uint64) (want uint64) {
+	p.mu.Lock()
+	start := p.random.IntN(peer.Buckets)
+	average := max(1, len(p.replicas)/peer.Buckets)
+	p.mu.Unlock()
+	// Half of the room is left for buckets that are fuller than others.
+	room := max(1, peer.MaxReports/2/average)
+	for i := range peer.Buckets {
+		bit := uint64(1) << ((start + i) % peer.Buckets)
+		if differ&bit != 0 && bits.OnesCount64(want) < room {
+			want |= bit
+		}
+	}
+
+	return want
+}
+
+// exchange takes the reports of the peer in the wanted buckets and gives it those that it lacks.
+func (p *Poller) exchange(ctx context.Context, to netip.AddrPort, want uint64) error {
+	theirs, err := p.functions.Reports(ctx, to, nil, want)
+	if err != nil {
+		return err
+	}
+	known := make(map[netip.AddrPort]*peer.TargetReport, len(theirs))
+	for i := range theirs {
+		known[theirs[i].Address] = &theirs[i]
+		p.offer(theirs[i], false)
+	}
+	var newer []peer.TargetReport
+	for _, r := range p.table.in(want) {
+		if their := known[r.Address]; their == nil || supersedes(&r, their) {
+			newer = append(newer, r)
+		}
+	}
+	if len(newer) == 0 {
+		return nil
+	}
+	_, err = p.functions.Reports(ctx, to, newer, 0)
+
+	return err
+}
+
+func (p *Poller) offer(r peer.TargetReport, passOn bool) {
+	if !p.table.offer(r, passOn) {
+		return
+	}
+	p.adopted.Add(1)
+	p.functions.Learn(r.Address, r.Report())
+	if passOn {
+		wake(p.signal)
+	}
+}
+
+// HandleCompare answers the digest of another instance.
+func (p *Poller) HandleCompare(_ context.Context, _ peer.Sender, digest uint64) (peer.Comparison, error) {
+	own, buckets := p.table.digests()
+	comparison := peer.Comparison{Digest: own, Round: p.round.Load()}
+	if own != digest {
+		comparison.Buckets = buckets
+	}
+
+	return comparison, nil
+}
+
+// HandleReports takes the reports of another instance and returns those in the wanted buckets.
+func (p *Poller) HandleReports(
+	_ context.Context,
+	_ peer.Sender,
+	reports []peer.TargetReport,
+	want uint64,
+) ([]peer.TargetReport, error) {
+	for _, r := range reports {
+		p.offer(r, true)
+	}
+
+	return p.table.in(want), nil
+}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -26,6 +26,7 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
 	"github.com/hickorynotch/hickorynotch/internal/fleet/membership"
+	"github.com/hickorynotch/hickorynotch/internal/fleet/polling"
 	"github.com/hickorynotch/hickorynotch/internal/policy/admission"
 	"github.com/hickorynotch/hickorynotch/internal/policy/budget"
 	"github.com/hickorynotch/hickorynotch/internal/policy/hedge"
@@ -68,6 +69,8 @@
 	// incomplete names the services whose lack of shards was logged. Only names of the configuration get here.
 	incomplete sync.Map
 	adopted    chan struct{} // wakes the poll of the targets
+	started    time.Time
+	kept       uint64 // the revision whose targets are polled; the poll alone uses it
 
 	platform *platform.Client
 	targets  *target.Client
@@ -78,6 +81,7 @@
 	keeper  *configuration.Keeper
 	spread  *configuration.Spread
 	watcher *configuration.Watcher
+	poller  *polling.Poller
 
 	catalog    *snapshot.Catalog
 	links      *link.Table
@@ -122,6 +126,7 @@
 	for _, option := range options {
 		option(e)
 	}
+	e.started = e.timers.Now()
 	if e.metrics, err = metric.New(); err != nil {
 		return nil, err
 	}
@@ -185,10 +190,7 @@
 		configuration.WithKeeperLog(e.log),
 		configuration.WithOnAdopt(func(active configuration.Active) {
 			e.spread.Adopted(active)
-			select {
-			case e.adopted <- struct{}{}:
-			default:
-			}
+			e.wakePoll()
 		}))
 	e.members = membership.New(self, e.timers,
 		membership.Calls{Ping: e.peers.Ping, PingRequest: e.peers.PingRequest, Sync: e.peers.Sync},
@@ -197,6 +199,12 @@
 		membership.WithRevision(e.keeper.Revision,
 			func(from instance.Instance, revision uint64) { e.spread.Behind(from, revision) }),
 		membership.WithOnPause(e.onPause),
+		membership.WithOnChange(func([]instance.Instance) {
+			// The first round waits until other instances are known.
+			if !e.polled.Load() {
+				e.wakePoll()
+			}
+		}),
 		membership.WithSeed(e.seed),
 		membership.WithLog(e.log))
 	e.alone = []instance.Instance{self}
@@ -205,6 +213,11 @@
 	e.watcher = configuration.NewWatcher(self, e.spread,
 		configuration.StoreCalls{Read: e.platform.Read, Watch: e.platform.Watch}, e.seed, e.log)
 
+	e.poller = polling.New(self, e.timers, polling.Functions{
+		Live: e.members.Live, Status: e.targets.Status, Compare: e.peers.Compare, Reports: e.peers.Reports,
+		Learn: e.learnReport, Repeat: e.catalog.Learn,
+	}, e.seed)
+
 	e.peerServer = peer.NewServer(
 		peer.WithRelay(func(ctx context.Context, from peer.Sender, a attempt.Attempt) (target.Reply, error) {
 			return e.dispatcher.HandleRelay(ctx, from, a)
@@ -213,7 +226,9 @@
 		peer.WithPingRequest(e.members.HandlePingRequest),
 		peer.WithSync(e.members.HandleSync),
 		peer.WithConfiguration(e.spread.HandleConfiguration),
-		peer.WithPush(e.spread.HandlePush))
+		peer.WithPush(e.spread.HandlePush),
+		peer.WithCompare(e.poller.HandleCompare),
+		peer.WithReports(e.poller.HandleReports))
 }
 
 // assembleQuery makes the path of a request from the caller to the targets.
@@ -359,6 +374,14 @@
 			func() float64 { return float64(e.links.Full()) }},
 		{"hickorynotch.bound.members", "Members that found no place in the member table.",
 			func() float64 { return float64(e.members.Dropped()) }},
+		{"hickorynotch.polls", "Status polls of targets since the start.",
+			func() float64 { return float64(e.poller.Counts().Polls) }},
+		{"hickorynotch.reports.pushed", "Target reports pushed to peers since the start.",
+			func() float64 { return float64(e.poller.Counts().Pushed) }},
+		{"hickorynotch.reports.repairs", "Exchanges of target reports with a peer whose digest differed.",
+			func() float64 { return float64(e.poller.Counts().Repairs) }},
+		{"hickorynotch.bound.reports", "Targets that found no place in the table of reports.",
+			func() float64 { return float64(e.poller.Counts().Rejected) }},
 		{"hickorynotch.bound.budget", "Services that found no place in the table of budgets.",
 			func() float64 { return float64(e.budget.Dropped()) }},
 	}
@@ -401,6 +424,13 @@
 	return server{Server: caller.NewServer(e.callers), listener: e.listeners.caller}
 }
 
+func (e *Entry) wakePoll() {
+	select {
+	case e.adopted <- struct{}{}:
+	default:
+	}
+}
+
 // onPause is called when the process did not run for a while: members, reports and leases may have changed.
 func (e *Entry) onPause(time.Duration) {
 	e.stale.Store(true)
@@ -419,7 +449,11 @@
 	if err := e.watcher.Learn(ctx); err != nil {
 		return
 	}
+	e.polled.Store(false)
 	e.poll(ctx)
+	if !e.polled.Load() {
+		return
+	}
 	// The list lags and may be away, and the targets' own reports were read above, so its absence does not delay readiness.
 	if listed, err := e.platform.List(ctx); err == nil {
 		e.markLeaving(listed)
--- a/internal/run/entry/poll.go
+++ b/internal/run/entry/poll.go
@@ -2,31 +2,32 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
-	"sync"
+	"slices"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
+	"github.com/hickorynotch/hickorynotch/internal/fleet/polling"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
-	"github.com/hickorynotch/hickorynotch/internal/value/set"
 	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	"github.com/hickorynotch/hickorynotch/internal/world/contract"
 	"github.com/hickorynotch/hickorynotch/internal/world/instance"
+	"github.com/hickorynotch/hickorynotch/internal/world/zone"
 )
 
 const (
-	// pollEvery is the time between two status polls of a target. A leaving target must get no new work after a few seconds.
-	pollEvery = time.Second
-	// pollTimeout bounds one status poll. It is below pollEvery so that polls do not pile up.
-	pollTimeout = 800 * time.Millisecond
-	// pollAtOnce bounds the polls in flight of one instance.
-	pollAtOnce = 32
+	// joinTime is the time that a new instance has to join before it polls all targets itself, as one that is alone does. It
+	// covers a seed that does not answer.
+	joinTime = 3 * time.Second
 	// listEvery is the time between two reads of the platform's list, which lags by seconds itself.
 	listEvery = 5 * time.Second
 )
 
-// runPoll asks all targets of the configuration for their status once every pollEvery, and at once after a new configuration
-// was adopted, because targets that are not known yet are not used.
+// runPoll polls the targets that this instance owns, at once after a new configuration was adopted or another instance's
+// targets were taken over.
 func (e *Entry) runPoll(ctx context.Context) error {
-	ticks := e.timers.Subscribe(pollEvery)
+	ticks := e.timers.Subscribe(polling.Period)
 	defer ticks.Stop()
 	for {
 		if e.stale.Load() {
@@ -39,55 +40,63 @@
 			return ctx.Err()
 		case <-ticks.C:
 		case <-e.adopted:
+		case <-e.poller.Changed():
 		}
 	}
 }
 
-// poll asks every target once. It counts as done when a configuration was known.
+// poll polls once. The first time it also learns what the other instances know, and counts as done when the targets are known.
 func (e *Entry) poll(ctx context.Context) {
 	active, ok := e.keeper.Current()
 	if !ok {
 		return
 	}
-	var addresses set.Set[netip.AddrPort]
-	for _, s := range active.Configuration.Services {
-		for _, replica := range s.Replicas {
-			addresses.Add(replica.Address)
-		}
+	if e.kept != active.Revision {
+		e.poller.Keep(replicasOf(active, e.settings.AvailabilityZone))
+		e.kept = active.Revision
 	}
-	e.pollAll(ctx, addresses.Values())
-	if ctx.Err() == nil && !e.polled.Swap(true) {
-		e.log.Log(event.InstanceReady, "Revision", active.Revision, "Targets", addresses.Len())
+	if e.polled.Load() {
+		e.poller.Poll(ctx)
+
+		return
+	}
+	if !e.members.Joined() && len(e.members.Live()) < 2 && e.timers.Since(e.started) < joinTime {
+		return
+	}
+	if e.poller.CatchUp(ctx) {
+		e.polled.Store(true)
+		e.log.Log(event.InstanceReady, "Revision", active.Revision, "Targets", e.poller.Counts().Targets)
 	}
 }
 
-func (e *Entry) pollAll(ctx context.Context, addresses []netip.AddrPort) {
-	var running sync.WaitGroup
-	defer running.Wait()
-	free := make(chan struct{}, pollAtOnce)
-	for _, address := range addresses {
-		select {
-		case <-ctx.Done():
-			return
-		case free <- struct{}{}:
+// replicasOf returns the replicas of all zones, each address once. With overlays, an instance may own targets that only
+// other zones use.
+func replicasOf(active configuration.Active, own zone.Zone) []contract.Replica {
+	replicas := make(map[netip.AddrPort]contract.Replica)
+	add := func(c contract.Configuration) {
+		for _, s := range c.Services {
+			for _, r := range s.Replicas {
+				if known, ok := replicas[r.Address]; !ok || r.AvailabilityZone < known.AvailabilityZone {
+					replicas[r.Address] = r
+				}
+			}
 		}
-		running.Go(func() {
-			defer func() { <-free }()
-			e.pollOne(ctx, address)
-		})
 	}
-}
-
-// pollOne asks one target. A poll that fails says nothing: attempts decide whether a target is lost.
-func (e *Entry) pollOne(ctx context.Context, address netip.AddrPort) {
-	ctx, cancel := e.timers.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	report, err := e.targets.Status(ctx, address)
-	if err != nil {
-		return
+	add(active.Configuration)
+	if record, err := configuration.Decode(active.Raw); err == nil && len(record.Overlays) > 0 {
+		overlays := maps.Clone(record.Overlays)
+		delete(overlays, own)
+		// The zones without an overlay use the base.
+		overlays[""] = nil
+		for _, overlay := range overlays {
+			// apply checks every zone; one that does not merge has no configuration.
+			if c, err := contract.Merge(record.Base, overlay); err == nil {
+				add(c)
+			}
+		}
 	}
-	e.catalog.Learn(address, report)
-	e.links.Learn(address, &report)
+
+	return slices.Collect(maps.Values(replicas))
 }
 
 // runList reads the platform's list of leaving targets.
--- a/internal/run/entry/query.go
+++ b/internal/run/entry/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/policy/admission"
@@ -145,8 +146,13 @@
 }
 
 func (e *Entry) learn(a attempt.Attempt, report *target.Report) {
-	e.catalog.Learn(a.Replica.Address, *report)
-	e.links.Learn(a.Replica.Address, report)
+	e.learnReport(a.Replica.Address, *report)
+	e.poller.Replied(a.Replica.Address, report)
+}
+
+func (e *Entry) learnReport(address netip.AddrPort, report target.Report) {
+	e.catalog.Learn(address, report)
+	e.links.Learn(address, &report)
 }
 
 // resultOf says what the end of an attempt shows of the target.
--- a/internal/run/entry/run.go
+++ b/internal/run/entry/run.go
@@ -64,6 +64,7 @@
 		{"configuration spread", e.spread.Run},
 		{"configuration watcher", e.watcher.Run},
 		{"target poll", e.runPoll},
+		{"target reports", e.poller.Run},
 		{"platform list", e.runList},
 	} {
 		supervisor.Add(s)
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -228,6 +228,22 @@
 	return c.control(ctx, to, rpcPush, &record{Sender: c.sender, Record: packed}, &done{})
 }
 
+// Compare compares the digest of this instance's target reports with those of the peer.
+func (c *Client) Compare(ctx context.Context, to netip.AddrPort, digest uint64) (Comparison, error) {
+	var out Comparison
+	err := c.control(ctx, to, rpcCompare, &compareRequest{Sender: c.sender, Digest: digest}, &out)
+
+	return out, err
+}
+
+// Reports gives target reports to the peer and returns its reports in the wanted buckets, one bit for each.
+func (c *Client) Reports(ctx context.Context, to netip.AddrPort, reports []TargetReport, want uint64) ([]TargetReport, error) {
+	var out reportsReply
+	err := c.control(ctx, to, rpcReports, &reportsRequest{Sender: c.sender, Reports: reports, Want: want}, &out)
+
+	return out.Reports, err
+}
+
 func (c *Client) control(ctx context.Context, to netip.AddrPort, rpc string, in, out any) error {
 	_, err := c.call(ctx, poolKey{address: to, control: true}, c.callTimeout, rpc, in, out)
 
--- a/internal/wire/peer/description.go
+++ b/internal/wire/peer/description.go
@@ -12,7 +12,7 @@
 var _ drpc.Description = description{}
 
 // NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 7 }
+func (description) NumMethods() int { return 9 }
 
 // Method implements drpc.Description.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -46,6 +46,14 @@
 		return rpcPush, enc, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
 			return srv.(*Server).push(ctx, in.(*record))
 		}, (*Server).push, true
+	case 7:
+		return rpcCompare, enc, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return srv.(*Server).compare(ctx, in.(*compareRequest))
+		}, (*Server).compare, true
+	case 8:
+		return rpcReports, enc, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return srv.(*Server).reports(ctx, in.(*reportsRequest))
+		}, (*Server).reports, true
 	default:
 		return "", nil, nil, nil, false
 	}
--- a/internal/wire/peer/export_test.go
+++ b/internal/wire/peer/export_test.go
@@ -5,6 +5,7 @@
 	return []any{
 		&hello{}, &relayRequest{}, &relayReply{}, &ping{}, &ack{}, &pingRequest{}, &syncRequest{}, &syncReply{},
 		&configurationRequest{}, &configurationReply{}, &record{}, &done{},
+		&compareRequest{}, &Comparison{}, &reportsRequest{}, &reportsReply{},
 	}
 }
 
--- a/internal/wire/peer/peer.go
+++ b/internal/wire/peer/peer.go
@@ -37,6 +37,11 @@
 	MaxUpdates = 8
 	// MaxMembers is the number of members in a Table.
 	MaxMembers = 1024
+	// MaxReports is the number of target reports in a message. With as many holdings as a report may have they take 1.3 MB.
+	MaxReports = 512
+	// Buckets is the number of parts of a table of target reports that are compared on their own. With 3,200 targets a part
+	// has 50 reports, so that one report that was missed does not cost the whole table.
+	Buckets = 64
 	// maxElements bounds every array and map of a message before its elements are allocated. Hits of a reply are the
 	// longest array.
 	maxElements = 16 << 10
@@ -53,6 +58,8 @@
 	rpcSync          = "/Peer/Sync"
 	rpcConfiguration = "/Peer/Configuration"
 	rpcPush          = "/Peer/Push"
+	rpcCompare       = "/Peer/Compare"
+	rpcReports       = "/Peer/Reports"
 )
 
 // Codes of errors that a server returns before a call reaches its function.
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -36,6 +36,8 @@
 	syncFunc          func(ctx context.Context, from Sender, table Table) (Table, error)
 	configurationFunc func(ctx context.Context, from Sender, have uint64) ([]byte, error)
 	pushFunc          func(ctx context.Context, from Sender, raw []byte) error
+	compareFunc       func(ctx context.Context, from Sender, digest uint64) (Comparison, error)
+	reportsFunc       func(ctx context.Context, from Sender, reports []TargetReport, want uint64) ([]TargetReport, error)
 	blockedFunc       func(zone.Zone) bool
 
 	mu       sync.Mutex
@@ -80,6 +82,18 @@
 	return func(s *Server) { s.pushFunc = f }
 }
 
+// WithCompare sets the function that compares a digest with that of this instance's target reports.
+func WithCompare(f func(ctx context.Context, from Sender, digest uint64) (Comparison, error)) ServerOption {
+	return func(s *Server) { s.compareFunc = f }
+}
+
+// WithReports sets the function that takes target reports and gives those in the wanted buckets.
+func WithReports(
+	f func(ctx context.Context, from Sender, reports []TargetReport, want uint64) ([]TargetReport, error),
+) ServerOption {
+	return func(s *Server) { s.reportsFunc = f }
+}
+
 // WithBlocked sets the function that names the availability zones from which calls get no answer. Tests use it to
 // partition processes: calls on open connections stall, and new connections fail at their Hello.
 func WithBlocked(f func(zone.Zone) bool) ServerOption {
@@ -269,6 +283,24 @@
 	return &done{}, s.pushFunc(ctx, in.Sender, raw)
 }
 
+func (s *Server) compare(ctx context.Context, in *compareRequest) (*Comparison, error) {
+	if err := s.admit(ctx, in.Sender, s.compareFunc != nil); err != nil {
+		return nil, err
+	}
+	comparison, err := s.compareFunc(ctx, in.Sender, in.Digest)
+
+	return &comparison, err
+}
+
+func (s *Server) reports(ctx context.Context, in *reportsRequest) (*reportsReply, error) {
+	if err := s.admit(ctx, in.Sender, s.reportsFunc != nil); err != nil {
+		return nil, err
+	}
+	reports, err := s.reportsFunc(ctx, in.Sender, in.Reports, in.Want)
+
+	return &reportsReply{Reports: reports}, err
+}
+
 // boundedListener closes connections over maxConnections at once.
 type boundedListener struct {
 	net.Listener
