--- a/internal/fleet/polling/polling.go
+++ b/internal/fleet/polling/polling.go
@@ -79,12 +79,12 @@
 	owners    ownership.Cache
 	changed   chan struct{} // the targets to poll may have changed
 	signal    chan struct{} // there are reports to push
-	round     atomic.Uint64
+	rounds    atomic.Uint64
 
 	polls, pushed, adopted, repairs, takenOn, rejected atomic.Uint64
 
 	contacting sync.Mutex // held during a contact
-	seen       map[string]roundSeen
+	seen       map[string]progress
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -106,7 +106,7 @@
 		table:     table{timers: timers, entries: make(map[netip.AddrPort]*entry)},
 		changed:   make(chan struct{}, 1),
 		signal:    make(chan struct{}, 1),
-		seen:      make(map[string]roundSeen),
+		seen:      make(map[string]progress),
 		random:    rand.New(rand.NewPCG(seed, xxhash.Sum64String(self.Name))),
 	}
 }
@@ -148,7 +148,7 @@
 
 // Poll polls the targets that this instance owns and those whose owner does not poll, and repeats all reports.
 func (p *Poller) Poll(ctx context.Context) {
-	p.round.Add(1)
+	p.rounds.Add(1)
 	p.pollAll(ctx, p.mine())
 	p.table.repeat(p.functions.Repeat)
 }
--- a/internal/fleet/polling/spread.go
+++ b/internal/fleet/polling/spread.go
@@ -35,9 +35,9 @@
 	maxRepairs = 3
 )
 
-// roundSeen is the round that an instance was in when it answered last.
-type roundSeen struct {
-	round uint64
+// progress is that of an instance and when it was first seen.
+type progress struct {
+	count uint64
 	at    time.Time
 }
 
@@ -153,7 +153,7 @@
 					answers = append(answers, answer{i, comparison})
 				}
 				own := z == p.self.AvailabilityZone
-				polls := err == nil && (!own || p.advanced(i, comparison.Round))
+				polls := err == nil && (!own || p.advanced(i, comparison.Progress))
 				if own && !polls {
 					absent.Add(i.Name)
 				}
@@ -200,17 +200,18 @@
 }
 
 // advanced reports whether an instance that answered has polled since it answered last. One that answers but does not poll
-// would otherwise keep its targets for itself. The caller holds the mutex of the contact.
-func (p *Poller) advanced(i instance.Instance, round uint64) bool {
+// would otherwise keep its targets for itself. Rounds and contacts have one Period, so one contact without progress may only
+// be early. The caller holds the mutex of the contact.
+func (p *Poller) advanced(i instance.Instance, count uint64) bool {
 	now := p.timers.Now()
 	last, ok := p.seen[i.Name]
-	if ok && last.round == round {
-		return now.Sub(last.at) < Period*3/4
+	if ok && last.count == count {
+		return now.Sub(last.at) < Period*3/2
 	}
 	if len(p.seen) > nextTries {
 		clear(p.seen)
 	}
-	p.seen[i.Name] = roundSeen{round: round, at: now}
+	p.seen[i.Name] = progress{count: count, at: now}
 
 	return true
 }
@@ -258,7 +259,7 @@
 		for differ != 0 {
 			want := p.portion(differ)
 			differ &^= want
-			if p.exchange(ctx, a.from.Peer, want) != nil || !all {
+			if p.exchange(ctx, a.from.Peer, want, all) != nil || !all {
 				break
 			}
 		}
@@ -284,7 +285,7 @@
 }
 
 // exchange takes the reports of the peer in the wanted buckets and gives it those that it lacks.
-func (p *Poller) exchange(ctx context.Context, to netip.AddrPort, want uint64) error {
+func (p *Poller) exchange(ctx context.Context, to netip.AddrPort, want uint64, all bool) error {
 	theirs, err := p.functions.Reports(ctx, to, nil, want)
 	if err != nil {
 		return err
@@ -292,7 +293,11 @@
 	known := make(map[netip.AddrPort]*peer.TargetReport, len(theirs))
 	for i := range theirs {
 		known[theirs[i].Address] = &theirs[i]
-		p.offer(theirs[i], false)
+	}
+	// A few reports were missed here alone, or are those of an owner whose pushes were lost. Many are those of a time in
+	// which this instance was cut off, and the others that were cut off repair them in the same way.
+	if adopted := p.adopt(theirs); !all && len(adopted) <= pushBatch {
+		p.passOn(adopted)
 	}
 	var newer []peer.TargetReport
 	for _, r := range p.table.in(want) {
@@ -308,13 +313,23 @@
 	return err
 }
 
-func (p *Poller) offer(r peer.TargetReport, passOn bool) {
-	if !p.table.offer(r, passOn) {
-		return
+// adopt takes the reports that are newer than this instance's and returns their targets.
+func (p *Poller) adopt(reports []peer.TargetReport) (adopted []netip.AddrPort) {
+	for i := range reports {
+		r := &reports[i]
+		if p.table.offer(r) {
+			adopted = append(adopted, r.Address)
+			p.functions.Learn(r.Address, r.Report())
+		}
 	}
-	p.adopted.Add(1)
-	p.functions.Learn(r.Address, r.Report())
-	if passOn {
+	p.adopted.Add(uint64(len(adopted)))
+
+	return adopted
+}
+
+func (p *Poller) passOn(addresses []netip.AddrPort) {
+	if len(addresses) > 0 {
+		p.table.passOn(addresses)
 		wake(p.signal)
 	}
 }
@@ -322,7 +337,7 @@
 // HandleCompare answers the digest of another instance.
 func (p *Poller) HandleCompare(_ context.Context, _ peer.Sender, digest uint64) (peer.Comparison, error) {
 	own, buckets := p.table.digests()
-	comparison := peer.Comparison{Digest: own, Round: p.round.Load()}
+	comparison := peer.Comparison{Digest: own, Progress: p.rounds.Load() + p.polls.Load()}
 	if own != digest {
 		comparison.Buckets = buckets
 	}
@@ -337,9 +352,7 @@
 	reports []peer.TargetReport,
 	want uint64,
 ) ([]peer.TargetReport, error) {
-	for _, r := range reports {
-		p.offer(r, true)
-	}
+	p.passOn(p.adopt(reports))
 
 	return p.table.in(want), nil
 }
--- a/internal/fleet/polling/table.go
+++ b/internal/fleet/polling/table.go
@@ -103,12 +103,12 @@
 	return false
 }
 
-// state gives report the next sequence number. The time makes it higher than what other instances know of a target of which
-// this one knows nothing; a clock that is off only costs an exchange. The caller holds mu.
+// state gives report the next sequence number. An instance that lost what it knew begins anew; a comparison shows it the
+// number of the others, and its next poll the next one. The caller holds mu.
 func (t *table) state(e *entry, address netip.AddrPort, report *target.Report) bool {
 	next := peer.TargetReport{
 		Address:     address,
-		Sequence:    max(e.Sequence+1, uint64(max(0, t.timers.Now().UnixMilli()))),
+		Sequence:    e.Sequence + 1,
 		Incarnation: report.Incarnation,
 		Service:     report.Service,
 		Draining:    report.Draining,
@@ -125,23 +125,31 @@
 	return true
 }
 
-// offer takes the report of another instance if it is newer. One that is new by a push is passed on.
-func (t *table) offer(r peer.TargetReport, passOn bool) (adopted bool) {
+// offer takes the report of another instance if it is newer.
+func (t *table) offer(r *peer.TargetReport) (adopted bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[r.Address]
-	if e == nil || !supersedes(&r, &e.TargetReport) {
+	if e == nil || !supersedes(r, &e.TargetReport) {
 		return false
 	}
-	t.set(e, r)
+	t.set(e, *r)
 	e.doubted = time.Time{}
-	if passOn {
-		t.pending.Add(r.Address)
-	}
 
 	return true
 }
 
+// passOn has the reports of the targets passed on.
+func (t *table) passOn(addresses []netip.AddrPort) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, address := range addresses {
+		if t.entries[address] != nil {
+			t.pending.Add(address)
+		}
+	}
+}
+
 func (t *table) set(e *entry, r peer.TargetReport) {
 	bucket := bucketOf(r.Address)
 	t.buckets[bucket] ^= e.hash
@@ -217,22 +225,17 @@
 	return addresses
 }
 
-// repeat calls learn with each report that no reply has contradicted shortly before. A drain is repeated in any case: late
-// replies that contradict it are those of queries that began before.
+// repeat calls learn, which must not call the table, with each report that no reply has contradicted shortly before. A drain
+// is repeated in any case: late replies that contradict it are those of queries that began before.
 func (t *table) repeat(learn func(netip.AddrPort, target.Report)) {
 	now := t.timers.Now()
 	t.mu.RLock()
-	reports := make([]*peer.TargetReport, 0, len(t.entries))
-	for _, e := range t.entries {
+	defer t.mu.RUnlock()
+	for address, e := range t.entries {
 		if e.Sequence != 0 && (e.Draining || e.doubted.IsZero() || now.Sub(e.doubted) >= doubtFor) {
-			r := e.TargetReport
-			reports = append(reports, &r)
+			learn(address, e.Report())
 		}
 	}
-	t.mu.RUnlock()
-	for _, r := range reports {
-		learn(r.Address, r.Report())
-	}
 }
 
 // says reports whether r is what report says, but for its load.
--- a/internal/run/entry/poll.go
+++ b/internal/run/entry/poll.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
-	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
 	"github.com/hickorynotch/hickorynotch/internal/fleet/polling"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
-	"github.com/hickorynotch/hickorynotch/internal/world/contract"
 	"github.com/hickorynotch/hickorynotch/internal/world/instance"
-	"github.com/hickorynotch/hickorynotch/internal/world/zone"
 )
 
 const (
@@ -52,7 +47,7 @@
 		return
 	}
 	if e.kept != active.Revision {
-		e.poller.Keep(replicasOf(active, e.settings.AvailabilityZone))
+		e.poller.Keep(polling.Replicas(active, e.settings.AvailabilityZone))
 		e.kept = active.Revision
 	}
 	if e.polled.Load() {
@@ -69,36 +64,6 @@
 	}
 }
 
-// replicasOf returns the replicas of all zones, each address once. With overlays, an instance may own targets that only
-// other zones use.
-func replicasOf(active configuration.Active, own zone.Zone) []contract.Replica {
-	replicas := make(map[netip.AddrPort]contract.Replica)
-	add := func(c contract.Configuration) {
-		for _, s := range c.Services {
-			for _, r := range s.Replicas {
-				if known, ok := replicas[r.Address]; !ok || r.AvailabilityZone < known.AvailabilityZone {
-					replicas[r.Address] = r
-				}
-			}
-		}
-	}
-	add(active.Configuration)
-	if record, err := configuration.Decode(active.Raw); err == nil && len(record.Overlays) > 0 {
-		overlays := maps.Clone(record.Overlays)
-		delete(overlays, own)
-		// The zones without an overlay use the base.
-		overlays[""] = nil
-		for _, overlay := range overlays {
-			// apply checks every zone; one that does not merge has no configuration.
-			if c, err := contract.Merge(record.Base, overlay); err == nil {
-				add(c)
-			}
-		}
-	}
-
-	return slices.Collect(maps.Values(replicas))
-}
-
 // runList reads the platform's list of leaving targets.
 func (e *Entry) runList(ctx context.Context) error {
 	ticks := e.timers.Subscribe(listEvery)
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -353,6 +353,11 @@
 	gossip := peer.Gossip{Self: self, Revision: 4, Updates: []instance.Instance{self}}
 	table := peer.Table{Self: self, Revision: 4, Digest: 9, Members: []instance.Instance{self}}
 
+	report := peer.TargetReport{
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Sequence: 1, Incarnation: 2, Service: "page", Draining: true,
+		Holdings: []target.Holding{{Version: 1, Shard: 0, Shards: 1}},
+	}
+
 	It("carries each call and its reply", func() {
 		var pushed []byte
 		r := newRig([]peer.ServerOption{
@@ -367,6 +372,14 @@
 
 				return nil
 			}),
+			peer.WithCompare(func(_ context.Context, _ peer.Sender, digest uint64) (peer.Comparison, error) {
+				return peer.Comparison{Digest: digest, Progress: 3, Buckets: make([]uint64, peer.Buckets)}, nil
+			}),
+			peer.WithReports(func(_ context.Context, _ peer.Sender, reports []peer.TargetReport, want uint64) ([]peer.TargetReport, error) {
+				reports[0].Sequence = want
+
+				return reports, nil
+			}),
 		})
 		ctx := context.Background()
 		Expect(r.client.Ping(ctx, r.address, gossip)).To(Equal(gossip))
@@ -375,6 +388,9 @@
 		Expect(r.client.Configuration(ctx, r.address, 5)).To(Equal([]byte{5}))
 		Expect(r.client.Push(ctx, r.address, []byte("{}"))).To(Succeed())
 		Expect(string(pushed)).To(Equal("{}"))
+		Expect(r.client.Compare(ctx, r.address, 7)).To(Equal(peer.Comparison{Digest: 7, Progress: 3, Buckets: make([]uint64, peer.Buckets)}))
+		report.Sequence = 9
+		Expect(r.client.Reports(ctx, r.address, []peer.TargetReport{report}, 9)).To(Equal([]peer.TargetReport{report}))
 	})
 
 	DescribeTable("refuses messages over their bounds, which would let one peer exhaust another's memory",
@@ -382,6 +398,9 @@
 			r := newRig([]peer.ServerOption{
 				peer.WithPing(func(_ context.Context, _ peer.Sender, g peer.Gossip) (peer.Gossip, error) { return g, nil }),
 				peer.WithPush(func(context.Context, peer.Sender, []byte) error { return nil }),
+				peer.WithReports(func(context.Context, peer.Sender, []peer.TargetReport, uint64) ([]peer.TargetReport, error) {
+					return nil, nil
+				}),
 			})
 			Expect(call(r)).To(MatchError(ContainSubstring(message)))
 		},
@@ -395,6 +414,16 @@
 
 			return err
 		}, "Gossip.Updates[0]: Name: must have 1 to 128 characters"),
+		Entry("too many reports", func(r *rig) error {
+			_, err := r.client.Reports(context.Background(), r.address, slices.Repeat([]peer.TargetReport{report}, peer.MaxReports+1), 0)
+
+			return err
+		}, "Reports: 513 entries, at most 512 are accepted"),
+		Entry("a report that does not check", func(r *rig) error {
+			_, err := r.client.Reports(context.Background(), r.address, make([]peer.TargetReport, 1), 0)
+
+			return err
+		}, "Reports[0]: Address: must be an address with a port"),
 		Entry("too large a record", func(r *rig) error {
 			return r.client.Push(context.Background(), r.address, make([]byte, peer.MaxRecordBytes+1))
 		}, "Record: 1048577 bytes"),
--- a/internal/wire/peer/report.go
+++ b/internal/wire/peer/report.go
@@ -8,7 +8,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/wire/target"
 )
 
-// MaxSequence is far above a time in milliseconds and exact in every number format.
+// MaxSequence is far above what changes of a target reach and exact in every number format.
 const MaxSequence = 1 << 53
 
 // TargetReport is what an instance passes on of a target's report: all but its momentary load. It is encoded as an array,
@@ -82,8 +82,8 @@
 // Comparison is the answer to the digest of another instance.
 type Comparison struct {
 	Digest uint64
-	// Round counts the rounds of polls of the instance that answers.
-	Round uint64
+	// Progress grows while the instance that answers polls.
+	Progress uint64
 	// Buckets are the digests of the parts of its table. It is empty when the digests of the whole tables are equal.
 	Buckets []uint64 `cbor:",omitempty"`
 }
