Order the ring that watches pollers by hash instead of by name

Cause: instances whose names follow each other often share a rack, and of a row of dead instances only three are taken over before membership fails them.

Tested: 20 runs of the package's tests; make prove.

--- a/internal/fleet/polling/spread.go
+++ b/internal/fleet/polling/spread.go
@@ -177,19 +177,17 @@
 	p.repair(ctx, answers, all)
 }
 
-// order returns the instances of a zone in the order in which they are asked, and how many are. Within the zone each
-// watches the one whose name follows its own, so that one alone takes over. In another zone each has its own peer, so
-// that connections are kept and all peers get the same load.
+// order returns the instances of a zone in the order in which they are asked, and how many are. Within the zone all are in
+// one ring and each watches the next, so that one alone takes over; its order is one of hashes, because neighbours by name
+// may share a rack. In another zone each has its own peer, so that connections are kept and all peers get the same load.
 func (p *Poller) order(z zone.Zone, members []instance.Instance) (order []instance.Instance, tries int) {
 	if z != p.self.AvailabilityZone {
 		return ownership.Rank(p.self.Name, members), zoneTries
 	}
-	after := slices.IndexFunc(members, func(i instance.Instance) bool { return i.Name > p.self.Name })
-	if after < 0 {
-		after = 0
-	}
+	ring := ownership.Rank("", append(slices.Clone(members), p.self))
+	own := slices.IndexFunc(ring, func(i instance.Instance) bool { return i.Name == p.self.Name })
 
-	return append(slices.Clone(members[after:]), members[:after]...), nextTries
+	return append(slices.Clone(ring[own+1:]), ring[:own]...), nextTries
 }
 
 func (p *Poller) compare(ctx context.Context, to instance.Instance, digest uint64) (peer.Comparison, error) {
