--- a/internal/bench/control/live.go
+++ b/internal/bench/control/live.go
@@ -68,6 +68,11 @@
 	PeerBytesReceivedASecond     float64
 	PlatformBytesSentASecond     float64
 	PlatformBytesReceivedASecond float64
+	// TargetBytesASecond is that of status polls in both directions.
+	TargetBytesASecond float64
+	// PollsASecond is the number of status polls at one of Targets targets.
+	Targets      int
+	PollsASecond float64
 	// Cores includes the garbage collector and the stand-in platform.
 	Cores     float64
 	HeapBytes float64
@@ -155,7 +160,7 @@
 		return Idle{}, err
 	}
 	operator := newOperator(f)
-	operator.replicas = replicas
+	operator.replicas, operator.targets = replicas, f.targets.addresses
 	if _, err := operator.apply(ctx); err != nil {
 		return Idle{}, err
 	}
@@ -168,6 +173,7 @@
 	calls, sent, processor, began := f.platform.Calls(), f.peerBytes(), processorTime(), time.Now()
 	values := f.storeBytes()
 	fromStore, toStore := f.store.written.Load(), f.store.read.Load()
+	polls, polled := f.targets.polls.Load(), f.targets.traffic.written.Load()+f.targets.traffic.read.Load()
 	if err := sleep(ctx, idleTime); err != nil {
 		return Idle{}, err
 	}
@@ -183,6 +189,9 @@
 		PeerBytesSentASecond:         each(f.peerBytes() - sent),
 		PlatformBytesSentASecond:     each(f.store.read.Load() - toStore),
 		PlatformBytesReceivedASecond: each(f.store.written.Load() - fromStore),
+		TargetBytesASecond:           each(f.targets.traffic.written.Load() + f.targets.traffic.read.Load() - polled),
+		Targets:                      liveReplicas,
+		PollsASecond:                 float64(f.targets.polls.Load()-polls) / window.Seconds() / liveReplicas,
 		Cores:                        (processorTime() - processor).Seconds() / window.Seconds() / float64(size),
 	}
 	most, all := mostAndSum(values, f.storeBytes())
@@ -238,7 +247,8 @@
 	fleet   *liveFleet
 	applier *configuration.Applier
 	applied int
-	// replicas is the number of replicas of each configuration. One of them is in the zones of the instances.
+	// targets are the replicas for the zones of the instances, and replicas is the number of those for otherZone alone.
+	targets  []netip.AddrPort
 	replicas int
 }
 
@@ -249,6 +259,7 @@
 		fleet: f,
 		applier: configuration.NewApplier(timers,
 			configuration.WithApplierStore(platform.NewClient(f.operatorAddress, timers))),
+		targets:  []netip.AddrPort{absent(0)},
 		replicas: 1,
 	}
 }
@@ -258,16 +269,12 @@
 	ctx, cancel := context.WithTimeout(ctx, liveLimit)
 	defer cancel()
 	o.applied++
-	// Nothing listens at the replica, so a poll of it is refused at once.
-	nowhere := func(int) netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:1") }
 	all := append(slices.Clone(liveZones), otherZone)
-	base, err := newBase(all, 1, nowhere, o.applied)
+	base, err := newBase(all, len(o.targets), func(i int) netip.AddrPort { return o.targets[i] }, o.applied)
 	if err != nil {
 		return 0, err
 	}
-	overlay, err := newBase(all, o.replicas, func(i int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
-	}, o.applied)
+	overlay, err := newBase(all, o.replicas, absent, o.applied)
 	if err != nil {
 		return 0, err
 	}
@@ -377,12 +384,13 @@
 	_, _ = fmt.Fprintf(table, "Live instances over loopback, seed %d, %d cores\n", r.Seed, r.Cores)
 	_, _ = fmt.Fprint(table, titled("Idle fleet, for each instance unless stated"))
 	_, _ = fmt.Fprintln(table, "replicas\tinstances\tstore calls/s (fleet)\tlist calls/s (fleet)\tpeer B/s sent\tpeer B/s received\t"+
-		"platform B/s sent\tplatform B/s received\t% of a core\theap KB\tstack KB\t"+
+		"platform B/s sent\tplatform B/s received\tpoll B/s\tpolls/s at a target\t% of a core\theap KB\tstack KB\t"+
 		"store B/s (highest)\tstore KB for each change (fleet)\t")
 	for _, i := range r.Idle {
-		_, _ = fmt.Fprintf(table, "%d\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t\n", i.Replicas, i.Instances, i.StoreCallsASecond,
-			i.ListCallsASecond, i.PeerBytesSentASecond, i.PeerBytesReceivedASecond, i.PlatformBytesSentASecond,
-			i.PlatformBytesReceivedASecond, 100*i.Cores, i.HeapBytes/1024, i.StackBytes/1024, i.MostStoreBytesASecond, i.ChangeBytes/1024)
+		_, _ = fmt.Fprintf(table, "%d\t%d\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t\n",
+			i.Replicas, i.Instances, i.StoreCallsASecond, i.ListCallsASecond, i.PeerBytesSentASecond, i.PeerBytesReceivedASecond,
+			i.PlatformBytesSentASecond, i.PlatformBytesReceivedASecond, i.TargetBytesASecond, i.PollsASecond, 100*i.Cores,
+			i.HeapBytes/1024, i.StackBytes/1024, i.MostStoreBytesASecond, i.ChangeBytes/1024)
 	}
 	_, _ = fmt.Fprint(table, titled("Time from accepted to in force at every instance"))
 	_, _ = fmt.Fprintln(table, "instances\tstore\tapplies\tp50 / p99 / max\tstore calls for each change (fleet)\t")
--- a/internal/run/entry/poll.go
+++ b/internal/run/entry/poll.go
@@ -2,28 +2,23 @@
 
 import (
 	"context"
-	"net/netip"
-	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/fleet/polling"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
-	"github.com/hickorynotch/hickorynotch/internal/value/set"
 	"github.com/hickorynotch/hickorynotch/internal/world/instance"
 )
 
 const (
-	// pollEvery is the time between two status polls of a target. A leaving target must get no new work after a few seconds.
-	pollEvery = time.Second
-	// pollTimeout bounds one status poll. It is below pollEvery so that polls do not pile up.
-	pollTimeout = 800 * time.Millisecond
-	// pollAtOnce bounds the polls in flight of one instance.
-	pollAtOnce = 32
+	// joinTime is the time that a new instance has to join before it polls all targets itself, as one that is alone does. It
+	// covers a seed that does not answer.
+	joinTime = 3 * time.Second
 )
 
-// runPoll asks all targets of the configuration for their status once every pollEvery, and at once after a new configuration
-// was adopted, because targets that are not known yet are not used.
+// runPoll polls the targets that this instance owns, at once after a new configuration was adopted or another instance's
+// targets were taken over.
 func (e *Entry) runPoll(ctx context.Context) error {
-	ticks := e.timers.Subscribe(pollEvery)
+	ticks := e.timers.Subscribe(polling.Period)
 	defer ticks.Stop()
 	for {
 		if e.stale.Load() {
@@ -36,55 +31,33 @@
 			return ctx.Err()
 		case <-ticks.C:
 		case <-e.adopted:
+		case <-e.poller.Changed():
 		}
 	}
 }
 
-// poll asks every target once. It counts as done when a configuration was known.
+// poll polls once. The first time it also learns what the other instances know, and counts as done when the targets are known.
 func (e *Entry) poll(ctx context.Context) {
 	active, ok := e.keeper.Current()
 	if !ok {
 		return
 	}
-	var addresses set.Set[netip.AddrPort]
-	for _, s := range active.Configuration.Services {
-		for _, replica := range s.Replicas {
-			addresses.Add(replica.Address)
-		}
-	}
-	e.pollAll(ctx, addresses.Values())
-	if ctx.Err() == nil && !e.polled.Swap(true) {
-		e.log.Log(event.InstanceReady, "Revision", active.Revision, "Targets", addresses.Len())
+	if e.kept != active.Revision {
+		e.poller.Keep(polling.Replicas(active, e.settings.AvailabilityZone))
+		e.kept = active.Revision
 	}
-}
+	if e.polled.Load() {
+		e.poller.Poll(ctx)
 
-func (e *Entry) pollAll(ctx context.Context, addresses []netip.AddrPort) {
-	var running sync.WaitGroup
-	defer running.Wait()
-	free := make(chan struct{}, pollAtOnce)
-	for _, address := range addresses {
-		select {
-		case <-ctx.Done():
-			return
-		case free <- struct{}{}:
-		}
-		running.Go(func() {
-			defer func() { <-free }()
-			e.pollOne(ctx, address)
-		})
+		return
 	}
-}
-
-// pollOne asks one target. A poll that fails says nothing: attempts decide whether a target is lost.
-func (e *Entry) pollOne(ctx context.Context, address netip.AddrPort) {
-	ctx, cancel := e.timers.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	report, err := e.targets.Status(ctx, address)
-	if err != nil {
+	if !e.members.Joined() && len(e.members.Live()) < 2 && e.timers.Since(e.started) < joinTime {
 		return
 	}
-	e.catalog.Learn(address, report)
-	e.links.Learn(address, &report)
+	if e.poller.CatchUp(ctx) {
+		e.polled.Store(true)
+		e.log.Log(event.InstanceReady, "Revision", active.Revision, "Targets", e.poller.Counts().Targets)
+	}
 }
 
 // owners returns the instances that may own targets. With the variants that have no owners there is none but this one.
--- a/internal/run/entry/run.go
+++ b/internal/run/entry/run.go
@@ -65,6 +65,7 @@
 		{"configuration watcher", e.watcher.Run},
 		{"target poll", e.runPoll},
 		{"platform list", e.list.Run},
+		{"target reports", e.poller.Run},
 	} {
 		supervisor.Add(s)
 	}
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -254,6 +254,22 @@
 	return c.control(ctx, to, rpcListing, &listing{Sender: c.sender, Listing: l}, &done{})
 }
 
+// Compare compares the digest of this instance's target reports with those of the peer.
+func (c *Client) Compare(ctx context.Context, to netip.AddrPort, digest uint64) (Comparison, error) {
+	var out Comparison
+	err := c.control(ctx, to, rpcCompare, &compareRequest{Sender: c.sender, Digest: digest}, &out)
+
+	return out, err
+}
+
+// Reports gives target reports to the peer and returns its reports in the wanted buckets, one bit for each.
+func (c *Client) Reports(ctx context.Context, to netip.AddrPort, reports []TargetReport, want uint64) ([]TargetReport, error) {
+	var out reportsReply
+	err := c.control(ctx, to, rpcReports, &reportsRequest{Sender: c.sender, Reports: reports, Want: want}, &out)
+
+	return out.Reports, err
+}
+
 func (c *Client) control(ctx context.Context, to netip.AddrPort, rpc string, in, out any) error {
 	patience := patience{call: c.callTimeout, connect: c.callTimeout, silent: c.callTimeout}
 	_, _, err := c.call(ctx, poolKey{address: to, control: true}, patience, rpc, in, out)
--- a/internal/wire/peer/description.go
+++ b/internal/wire/peer/description.go
@@ -12,7 +12,7 @@
 var _ drpc.Description = description{}
 
 // NumMethods implements drpc.Description.
-func (description) NumMethods() int { return 8 }
+func (description) NumMethods() int { return 10 }
 
 // Method implements drpc.Description.
 func (description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -50,6 +50,14 @@
 		return rpcListing, enc, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
 			return srv.(*Server).listing(ctx, in.(*listing))
 		}, (*Server).listing, true
+	case 8:
+		return rpcCompare, enc, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return srv.(*Server).compare(ctx, in.(*compareRequest))
+		}, (*Server).compare, true
+	case 9:
+		return rpcReports, enc, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return srv.(*Server).reports(ctx, in.(*reportsRequest))
+		}, (*Server).reports, true
 	default:
 		return "", nil, nil, nil, false
 	}
