Bound the repair of reports to a period

Cause: a peer that stops to answer between a comparison and the exchange held up the next contact by up to 1 s a call, and with it the notice of dead pollers.

--- a/internal/fleet/polling/spread.go
+++ b/internal/fleet/polling/spread.go
@@ -156,6 +156,12 @@
 		return
 	}
 	p.note(found.absent, found.cut, len(zones) > 0 && len(found.answers) == 0)
+	if !all {
+		// A peer that stops to answer meanwhile must not hold up the next contact, which shows who else does.
+		limited, cancel := p.timers.WithTimeout(ctx, Period)
+		defer cancel()
+		ctx = limited
+	}
 	p.repair(ctx, found.answers, all)
 }
 
