Leave a confirmed record to the watcher of a zone for 1 s

Change: the second instance waits 1 s before it reads. With a stalled watch a change is in force after 6 s instead of 5 s.

The reads for each change were not measured again before this commit.

--- a/internal/fleet/configuration/announcement.go
+++ b/internal/fleet/configuration/announcement.go
@@ -51,8 +51,8 @@
 type schedule struct {
 	keeper *Keeper
 	timers *timer.Service
-	// recheck makes the record be read every recheckEvery.
-	recheck bool
+	// recheck makes the record be read every recheckEvery, and patient leaves a confirmed one to the watcher for a grace.
+	recheck, patient bool
 
 	announced Announcement
 	last      time.Time // the last read of the record, or the begin of the role
@@ -60,8 +60,10 @@
 	pause     time.Duration
 }
 
-func newSchedule(keeper *Keeper, timers *timer.Service, recheck bool) *schedule {
-	return &schedule{keeper: keeper, timers: timers, recheck: recheck, last: timers.Now()}
+func newSchedule(keeper *Keeper, timers *timer.Service, r role) *schedule {
+	return &schedule{
+		keeper: keeper, timers: timers, recheck: r != watching, patient: r == reading, last: timers.Now(),
+	}
 }
 
 // learn takes the value under AnnouncementKey.
@@ -71,7 +73,7 @@
 		return
 	}
 	s.announced, s.next, s.pause = announced, s.timers.Now(), announceGrace
-	if !announced.Written {
+	if !announced.Written || s.patient {
 		s.next = s.next.Add(announceGrace)
 	}
 }
--- a/internal/fleet/configuration/watcher.go
+++ b/internal/fleet/configuration/watcher.go
@@ -198,7 +198,7 @@
 
 // begin starts the work of a role and returns the function that ends it.
 func (w *Watcher) begin(ctx context.Context, next role) (stop func()) {
-	s := newSchedule(w.keeper, w.timers, next != watching)
+	s := newSchedule(w.keeper, w.timers, next)
 	work := w.readAll
 	switch next {
 	case noRole:
