Repeat a run without the mechanism that shows nothing

Without the mark a leaving target goes on to get work only if routing sends it some, and in that run none of the instances did for the last virtual second.

Change: without its mechanism a cell has up to 3 runs to be seen to fail. With it, each run must pass, as before.

--- a/internal/proof/fleet/prove_test.go
+++ b/internal/proof/fleet/prove_test.go
@@ -141,6 +141,9 @@
 	return stopCell(timeout, step, clusterFault{name: "none", begin: func(*cluster) {}, hold: 2 * time.Second})
 }
 
+// maxRunsWithout bounds the runs in which a cell without its mechanism must be seen to fail.
+const maxRunsWithout = 3
+
 // prove runs each cell of p with the mechanism off and on. The judge must complain in every cell without it.
 func prove(t *testing.T, p proof) {
 	fails, passes := true, true
@@ -152,6 +155,11 @@
 				cleanup = t.Cleanup
 				defer func() { cleanup = before }()
 				wrong := run(on)
+				// Without the mechanism the fault shows only in what routing happens to send. A target that was slow once on a busy
+				// machine may get no work for as long as a run takes, and then the run shows nothing.
+				for runs := 1; !on && len(wrong) == 0 && runs < maxRunsWithout; runs++ {
+					wrong = run(on)
+				}
 				t.Logf("%q", wrong)
 				if on {
 					passes = passes && len(wrong) == 0
