Finish the start of an instance once the last report has come

Cause: an instance that starts learns the reports of targets that others own, and looked whether it has all of them only once a second.

Change: a report that completes the table while the instance waits wakes the poll.

--- a/internal/fleet/polling/spread.go
+++ b/internal/fleet/polling/spread.go
@@ -358,9 +358,22 @@
 	}
 	p.adopted.Add(uint64(len(adopted)))
 
+	if len(adopted) > 0 && p.catchesUp() && len(p.table.unknown()) == 0 {
+		// The rest of CatchUp need not wait for the next period.
+		wake(p.changed)
+	}
+
 	return adopted
 }
 
+// catchesUp reports whether CatchUp waits for reports.
+func (p *Poller) catchesUp() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return !p.waiting.IsZero()
+}
+
 func (p *Poller) passOn(addresses []netip.AddrPort) {
 	if len(addresses) > 0 {
 		p.table.passOn(addresses)
