Let an operator in a proof meet an unavailable store

The operator's apply ended with "the store was not reached", which is true and not what the cell judges, and the set-up took it for an error.

Change: an operator may be told that the store is unavailable while the store has a fault. The judge is unchanged.

--- a/internal/proof/fleet/cluster_test.go
+++ b/internal/proof/fleet/cluster_test.go
@@ -189,7 +189,9 @@
 	_, err := configuration.NewApplier(timer.New(), configuration.WithApplierStore(client)).Apply(context.Background(),
 		configuration.Change{ApplyID: id, Operator: id, Base: base})
 	var race *configuration.RaceError
-	Expect(err == nil || errors.As(err, &race)).To(BeTrue(), "%v", err)
+	// An operator who meets a fault of the store is told so, and the fault is what the cell is about.
+	away := len(c.platform.Faults()) > 0 && errors.Is(err, platform.ErrUnavailable)
+	Expect(err == nil || away || errors.As(err, &race)).To(BeTrue(), "%v", err)
 }
 
 func (c *cluster) start(name string, z zone.Zone, timeout time.Duration) *process {
