Hedge by the time in a slot, and move attempts that wait

The age of an attempt at its sender mixes the wait for a slot at the owner with the time at the target, so that no age met the targets for latency and extra load together.

The owner keeps a digest of the times in a slot and tells the sender of an attempt that holds one for longer than its high quantile: by a call, or by one message on the relay before the reply. Attempts in time cost no message. The age decides only at twice its former delay, for owners that say nothing.

An attempt that waits for half of that time is taken out of the queue and given back, not run, and goes to another replica without a token. Only the first attempt of a shard moves, and a target gives back one request in 20. Requests that are not idempotent ask for neither.

The fanout test of the delay observes 5 ms instead of 10, because the age at which it hedges is now twice the observed one. It still hedges at 10 ms.

--- a/internal/policy/hedge/hedge.go
+++ b/internal/policy/hedge/hedge.go
@@ -1,16 +1,23 @@
 // Package hedge decides when a second copy of a slow target request is worth its load.
 //
-// It keeps a digest of the recent latencies of first attempts for each service and returns one of its quantiles:
+// It keeps a digest of recent times for each service and returns one of its quantiles. The owner of a target keeps the times
+// for which requests hold a slot, and tells the sender of an attempt that holds one for longer:
 //
-//	h := hedge.New(hedge.WithTimers(timers), hedge.WithExtraLoad(extraLoad))
-//	h.Observe("catalogue", 4*time.Millisecond)
-//	delay, ok := h.Delay("catalogue")
+//	held := hedge.New(hedge.WithTimers(timers), hedge.WithExtraLoad(extraLoad), hedge.WithHolds())
+//	held.ObserveHeld("catalogue", 4*time.Millisecond, true)
+//	late, ok := held.Delay("catalogue")
 //
-// Hedging every request that is slower than quantile q sends a second copy of 1-q of the requests. The delay is the 98.5th
-// percentile, which repeats few requests that were about to be answered, but at most 1.5 times the 90th percentile: when more
-// than one request in 66 is a straggler, the 98.5th percentile is the time of a straggler, while the 90th percentile holds up
-// to one in 10. The delay is never below quantile 1-ExtraLoad, so that hedges alone do not need more than the budget of the
-// service gives, nor below the 95th percentile.
+// The time in a slot has no wait in it, so that it tells a straggler from an attempt that only waited. The sender keeps the
+// ages of first attempts, which have both in them, for attempts of which their owner tells nothing: a paused owner, or one
+// that cannot be reached any more.
+//
+// Hedging every request that is slower than quantile q sends a second copy of 1-q of the requests. The delay is a high
+// quantile (the 99.5th of times in a slot, the 98.5th of ages), which repeats few requests that were about to be answered, but
+// at most 1.5 times the 90th percentile: when more than one request in 200 or 66 is a straggler, the high quantile is the time
+// of a straggler, while the 90th percentile holds up to one in 10. The delay is never below quantile 1-ExtraLoad, so
+// that hedges alone do not need more than the budget of the service gives, nor below the 95th percentile.
+//
+// The state is at most MaxServices digests over the last 10 s. Package budget bounds the hedges.
 package hedge
 
 import (
@@ -25,11 +32,8 @@
 const (
 	// earliest is the lowest quantile that is hedged.
 	earliest = 0.95
-	// usual is the quantile that is hedged unless it exceeds sturdyFactor times the quantile sturdy. Log-normal service times
-	// with a spread of 0.3 to 0.45 have their 98.5th percentile at 1.3 to 1.5 times their 90th.
-	usual        = 0.985
-	sturdy       = 0.90
-	sturdyFactor = 1.5
+	// sturdy is the quantile that holds up to one straggler in 10.
+	sturdy = 0.90
 	// The digest covers the last windows × period. It is long enough for a stable 95th percentile at 10 requests a second and
 	// short enough to follow a change of load.
 	windows = 4
@@ -46,10 +50,18 @@
 	MaxServices = 256
 )
 
+// The rules. Log-normal service times with a spread of 0.3 to 0.45 have their 98.5th percentile at 1.3 to 1.5 times their 90th,
+// and their 99.5th at 1.5 to 1.8 times.
+var (
+	ages  = rule{usual: 0.985, factor: 1.5}
+	holds = rule{usual: 0.995, factor: 1.5}
+)
+
 // Hedge holds the digests of all services. It is safe for concurrent use.
 type Hedge struct {
 	timers    *timer.Service
 	extraLoad func(service string) float64
+	rule      rule
 	start     time.Time
 	mutex     sync.RWMutex
 	digests   map[string]*digest
@@ -68,6 +80,9 @@
 	quantile float64
 }
 
+// rule is the quantile that is hedged, unless it exceeds factor times the quantile sturdy.
+type rule struct{ usual, factor float64 }
+
 // Option configures a Hedge.
 type Option func(*Hedge)
 
@@ -81,9 +96,14 @@
 	return func(h *Hedge) { h.extraLoad = extraLoad }
 }
 
+// WithHolds makes the Hedge judge times in a slot, for the owners of targets, and not the ages of attempts at their senders.
+func WithHolds() Option {
+	return func(h *Hedge) { h.rule = holds }
+}
+
 // New returns a Hedge without latencies.
 func New(options ...Option) *Hedge {
-	h := &Hedge{digests: make(map[string]*digest), extraLoad: func(string) float64 { return 1 - earliest }}
+	h := &Hedge{digests: make(map[string]*digest), rule: ages, extraLoad: func(string) float64 { return 1 - earliest }}
 	for _, option := range options {
 		option(h)
 	}
@@ -112,6 +132,17 @@
 	}
 }
 
+// ObserveHeld records the time that a request held a slot. A cancelled request counts only if it was late, because it would
+// have held the slot for longer.
+func (h *Hedge) ObserveHeld(service string, held time.Duration, ended bool) {
+	if !ended {
+		if late, ok := h.Delay(service); ok && held < late {
+			return
+		}
+	}
+	h.Observe(service, held)
+}
+
 // Delay returns the time after which a request of service may be hedged, or false if the service has no extra load or too
 // few recent latencies.
 func (h *Hedge) Delay(service string) (time.Duration, bool) {
@@ -139,8 +170,8 @@
 		d.merged.Merge(w)
 	}
 	d.known = d.merged.TotalCount() >= minimumSamples
-	limit := int64(sturdyFactor * float64(d.merged.ValueAtQuantile(sturdy*100)))
-	delay := min(d.merged.ValueAtQuantile(max(quantile, usual)*100), limit)
+	limit := int64(h.rule.factor * float64(d.merged.ValueAtQuantile(sturdy*100)))
+	delay := min(d.merged.ValueAtQuantile(max(quantile, h.rule.usual)*100), limit)
 	d.delay = time.Duration(max(delay, d.merged.ValueAtQuantile(quantile*100))) * unit
 
 	return d.delay, d.known
--- a/internal/policy/hedge/hedge_test.go
+++ b/internal/policy/hedge/hedge_test.go
@@ -67,6 +67,26 @@
 		Entry("more stragglers than the budget pays for", 0.02, 40, 500*time.Millisecond),
 	)
 
+	// Guards against a delay that falls with each hedge that wins, because only quick attempts would be left in the digest.
+	It("takes a cancelled request for its time in a slot only if it was late", func() {
+		clock := clockwork.NewFakeClock()
+		h := hedge.New(hedge.WithTimers(timer.New(timer.WithClock(clock))), hedge.WithHolds())
+		for i := range 100 {
+			h.ObserveHeld("catalogue", time.Duration(i+101)*time.Millisecond, true)
+		}
+		delay, _ := h.Delay("catalogue")
+		Expect(delay).To(BeNumerically("~", 200*time.Millisecond, 2*time.Millisecond))
+		for range 1000 {
+			h.ObserveHeld("catalogue", time.Millisecond, false)
+		}
+		for range 2 {
+			h.ObserveHeld("catalogue", 300*time.Millisecond, false)
+		}
+		clock.Advance(time.Second)
+		delay, _ = h.Delay("catalogue")
+		Expect(delay).To(BeNumerically("~", 287*time.Millisecond, 4*time.Millisecond))
+	})
+
 	It("follows a change of load within the window", func() {
 		clock := clockwork.NewFakeClock()
 		h := hedge.New(hedge.WithTimers(timer.New(timer.WithClock(clock))))
--- a/internal/policy/slots/limiter.go
+++ b/internal/policy/slots/limiter.go
@@ -12,6 +12,13 @@
 // requests and gives a single straggler little weight.
 const smoothing = 0.1
 
+// A target gives back at most one in 20 of its requests, and at most maxMoves in a row. A queue that is long for its load, and
+// not because of a straggler, would otherwise send all its requests to the end of other queues.
+const (
+	moveShare = 0.05
+	maxMoves  = 2
+)
+
 // waiter is a request in a queue.
 type waiter struct {
 	worth    float64
@@ -47,6 +54,7 @@
 	mean     time.Duration // recent time that a request holds a slot
 	halved   time.Time
 	used     time.Time
+	moves    float64 // requests that may be given back
 }
 
 func (l *limiter) idle() bool { return l.inFlight == 0 && len(l.waiting) == 0 }
@@ -85,6 +93,16 @@
 	return true
 }
 
+// move takes w out of the queue to be given back, if it is there and the bound allows it.
+func (l *limiter) move(w *waiter) bool {
+	if l.moves < 1 || !l.remove(w) {
+		return false
+	}
+	l.moves--
+
+	return true
+}
+
 func (l *limiter) evictLast() {
 	last := len(l.waiting) - 1
 	l.waiting[last].result <- refuse(target.QueueFull, "a request of higher worth took the place in the full queue")
--- a/internal/policy/slots/table.go
+++ b/internal/policy/slots/table.go
@@ -9,6 +9,9 @@
 //	})
 //
 // The limit is halved when the target sheds and grows step by step on success, from 1 up to the slots of the contract.
+// A movable request that waits for longer than half the time after which a request in a slot is late is given back, not run,
+// so that its sender asks another replica. At most one request in 20 of a target is.
+//
 // Owner views may differ for a short time, and shedding then corrects the limit.
 //
 // Split and Adaptive are the variants without an owner, for comparison in the bench.
@@ -41,6 +44,10 @@
 	// that it would have spent there for one that the queue refuses. Otherwise a queue that refuses most requests would
 	// look idle to admission.
 	OnDelay func(service string, delay time.Duration)
+	// Late returns the time in a slot after which an attempt is told that it is late, if it asks for that. Optional.
+	Late func(service string) (time.Duration, bool)
+	// OnHeld is called with the time that a request held a slot, if it ran; ended is false for one that was cancelled. Optional.
+	OnHeld func(service string, held time.Duration, ended bool)
 	// OnBound is called when a bound refuses or evicts a request: "Queue" or "Targets".
 	OnBound func(bound string)
 
@@ -100,7 +107,7 @@
 	}
 	delay := p.expected
 	if err == nil {
-		delay, err = t.wait(ctx, p.limiter, p.waiter)
+		delay, err = t.wait(ctx, &a, p.limiter, p.waiter)
 	}
 	if p.limiter != nil && t.OnDelay != nil {
 		t.OnDelay(a.Query.Service, delay)
@@ -110,6 +117,11 @@
 	}
 
 	started := t.timers.Now()
+	if a.Late != nil && t.Late != nil {
+		if late, ok := t.Late(a.Query.Service); ok {
+			defer t.timers.AfterFunc(late, a.Late)()
+		}
+	}
 	err = errPanicked
 	defer func() { t.leave(&a, p.limiter, started, err) }()
 	reply, err := run(ctx)
@@ -182,6 +194,7 @@
 	}
 	l.adjust(t.variant.ceiling(max(1, a.Slots)), t.variant)
 	l.used = now
+	l.moves = min(l.moves+moveShare, maxMoves)
 	t.seq++
 	w := &waiter{
 		worth:    a.Worth,
@@ -217,8 +230,19 @@
 	return p, nil
 }
 
-// wait blocks until w has a slot or is refused, and returns the time in the queue.
-func (t *Table) wait(ctx context.Context, l *limiter, w *waiter) (time.Duration, error) {
+// wait blocks until w has a slot or is refused or given back, and returns the time in the queue.
+func (t *Table) wait(ctx context.Context, a *attempt.Attempt, l *limiter, w *waiter) (time.Duration, error) {
+	if a.Movable && t.Late != nil && len(w.result) == 0 {
+		if late, ok := t.Late(a.Query.Service); ok {
+			defer t.timers.AfterFunc(late/2, func() {
+				t.mu.Lock()
+				defer t.mu.Unlock()
+				if l.move(w) {
+					w.result <- refuse(target.Waiting, "no slot was free in time, and another replica may have one")
+				}
+			})()
+		}
+	}
 	select {
 	case err := <-w.result:
 		if err != nil || ctx.Err() == nil {
@@ -274,6 +298,9 @@
 	t.release(l)
 	t.mu.Unlock()
 
+	if t.OnHeld != nil && (err == nil || failure != nil && failure.Outcome == target.Unknown) {
+		t.OnHeld(a.Query.Service, now.Sub(started), failure == nil || failure.Code != target.Cancelled)
+	}
 	if halved {
 		t.log.Log(event.TargetLimitHalved, "Address", a.Replica.Address, "Service", a.Query.Service, "Limit", limit)
 	}
--- a/internal/policy/slots/table_test.go
+++ b/internal/policy/slots/table_test.go
@@ -96,6 +96,65 @@
 var shed = &target.Failure{Outcome: target.NotRun, Code: target.Shed}
 
 var _ = Describe("Table", func() {
+	// Guards against moves without bound, which would send every request of an overloaded target to another queue.
+	It("gives one request in 20 back that waits for half the time of a late one", func(ctx SpecContext) {
+		b := newBench()
+		b.table.Late = func(string) (time.Duration, bool) { return 10 * time.Millisecond, true }
+		movable := func(id string) attempt.Attempt {
+			a := newAttempt(id, 1, 1)
+			a.Movable = true
+			return a
+		}
+		for range 18 {
+			b.start(ctx, newAttempt("before", 1, 1))
+			b.expectRunning("before")
+			b.finish("before", nil)
+		}
+		b.start(ctx, movable("holds"))
+		b.expectRunning("holds")
+		for _, id := range []string{"moves", "stays"} {
+			b.start(ctx, movable(id))
+			Expect(b.clock.BlockUntilContext(ctx, b.waiting())).To(Succeed())
+			b.clock.Advance(time.Millisecond)
+		}
+		b.start(ctx, newAttempt("not movable", 1, 1))
+		b.clock.Advance(2 * time.Millisecond)
+		Consistently(b.waiting, "20ms").Should(Equal(3))
+		b.clock.Advance(time.Millisecond)
+		var result error
+		Eventually(b.results["moves"]).Should(Receive(&result))
+		Expect(result).To(beFailure(target.NotRun, target.Waiting))
+		b.clock.Advance(time.Millisecond)
+		Consistently(b.waiting, "20ms").Should(Equal(2))
+		b.finish("holds", nil)
+		b.expectRunning("stays")
+		b.finish("stays", nil)
+	})
+
+	// Guards against hedges of attempts that only waited, which are no stragglers.
+	It("tells of an attempt that holds a slot for too long, without its time in the queue", func(ctx SpecContext) {
+		b := newBench()
+		b.table.Late = func(string) (time.Duration, bool) { return 10 * time.Millisecond, true }
+		held, late := make(chan time.Duration, 2), make(chan string, 2)
+		b.table.OnHeld = func(_ string, d time.Duration, _ bool) { held <- d }
+		for _, id := range []string{"a", "b"} {
+			a := newAttempt(id, 1, 1)
+			a.Late = func() { late <- id }
+			b.start(ctx, a)
+		}
+		b.clock.Advance(9 * time.Millisecond)
+		b.finish("a", nil)
+		Expect(held).To(Receive(Equal(9 * time.Millisecond)))
+		b.expectRunning("a")
+		b.expectRunning("b")
+		b.clock.Advance(9 * time.Millisecond)
+		Consistently(late, "20ms").ShouldNot(Receive())
+		b.clock.Advance(time.Millisecond)
+		Eventually(late).Should(Receive(Equal("b")))
+		b.finish("b", shed)
+		Expect(held).NotTo(Receive())
+	})
+
 	It("runs at most the slots at a time and serves the queue by worth, then by deadline", func(ctx SpecContext) {
 		b := newBench()
 		early, stop := b.timers.WithTimeout(ctx, time.Second)
--- a/internal/query/attempt/attempt.go
+++ b/internal/query/attempt/attempt.go
@@ -18,4 +18,9 @@
 	// Worth orders the owner's queue.
 	Worth float64
 	Query target.Query
+	// Movable allows the owner to give the attempt back as target.Waiting, not run, because another replica can be asked.
+	Movable bool `cbor:",omitempty"`
+	// Late is called at most once by the owner of the target when the attempt holds a slot for longer than most of its service
+	// do. It must not block. It is nil for an attempt that is never hedged; a relay carries whether it is set.
+	Late func() `cbor:"-"`
 }
--- a/internal/query/fanout/fanout.go
+++ b/internal/query/fanout/fanout.go
@@ -40,6 +40,9 @@
 	// settleTime bounds the wait for the results of cancelled attempts when no attempt is known to have run. These results
 	// decide whether the refusal can say NotRun and the claim can be released.
 	settleTime = 2 * time.Millisecond
+	// silentFactor is what the age of an attempt is allowed over that of package hedge before it counts as late without a
+	// word from the owner of its target. The age includes the wait for a slot, which no hedge shortens by itself.
+	silentFactor = 2
 	// releaseTimeout bounds the deletion of a claim. The store answers in milliseconds.
 	releaseTimeout = 100 * time.Millisecond
 )
@@ -89,7 +92,7 @@
 }
 
 type counters struct {
-	attempts, retries, hedges, hedgeWins, restarts, mismatches, early atomic.Uint64
+	attempts, retries, hedges, hedgeWins, moves, restarts, mismatches, early atomic.Uint64
 }
 
 // Statistics counts what an Engine has done since its start.
@@ -98,6 +101,9 @@
 	Attempts, Retries, Hedges uint64
 	// HedgeWins counts the hedges that replied before the first attempt.
 	HedgeWins uint64
+	// Moves counts the attempts that an owner gave back before they had a slot, and that went to another replica. At most the
+	// first attempt of a shard moves.
+	Moves uint64
 	// Restarts counts the requests that were restarted on a newer snapshot.
 	Restarts uint64
 	// Mismatches counts the replies that were discarded because they belong to another attempt.
@@ -113,6 +119,7 @@
 		Retries:    e.counters.retries.Load(),
 		Hedges:     e.counters.hedges.Load(),
 		HedgeWins:  e.counters.hedgeWins.Load(),
+		Moves:      e.counters.moves.Load(),
 		Restarts:   e.counters.restarts.Load(),
 		Mismatches: e.counters.mismatches.Load(),
 		Early:      e.counters.early.Load(),
@@ -249,13 +256,16 @@
 	return refusal
 }
 
-// hedgeDelay returns the age at which an attempt of service is hedged, and false if it is not.
+// hedgeDelay returns the age at which an attempt of service is hedged, and false if it is not. The owner of the target tells
+// earlier of an attempt that is late; the age is for owners that cannot.
 func (e *Engine) hedgeDelay(service string) (time.Duration, bool) {
 	if e.HedgeDelay != nil {
 		return e.HedgeDelay(service)
 	}
 
-	return e.Hedge.Delay(service)
+	delay, ok := e.Hedge.Delay(service)
+
+	return silentFactor * delay, ok
 }
 
 // hedgeSpend reports whether n hedges of service are paid for.
--- a/internal/query/fanout/fanout_test.go
+++ b/internal/query/fanout/fanout_test.go
@@ -113,7 +113,7 @@
 		ReturnPath: 3 * time.Millisecond,
 	}
 	for range 30 {
-		b.engine.Hedge.Observe("catalogue", 10*time.Millisecond)
+		b.engine.Hedge.Observe("catalogue", 5*time.Millisecond)
 	}
 
 	return b
@@ -321,6 +321,55 @@
 		Eventually(cancelled).Should(BeClosed())
 	})
 
+	// Guards against a move that is paid for or counted like a hedge, and against one that leaves the shard without an attempt.
+	DescribeTable("moves an attempt that its owner gives back once, without a token",
+		func(second run, whole bool) {
+			b := newBench()
+			movable := make(chan bool, 3)
+			b.script = shard0(func(ctx context.Context, a attempt.Attempt, n int) (target.Reply, error) {
+				movable <- a.Movable
+				return fail(target.NotRun, target.Waiting)(ctx, a, n)
+			}, func(ctx context.Context, a attempt.Attempt, n int) (target.Reply, error) {
+				movable <- a.Movable
+				return second(ctx, a, n)
+			})
+			answer, refusal := b.answer(context.Background())
+			Expect(refusal).To(BeNil())
+			Expect(answer.Coverage.Whole).To(Equal(whole))
+			Expect(<-movable).To(BeTrue())
+			Expect(<-movable).To(BeFalse())
+			Expect(b.engine.Statistics().Moves).To(BeEquivalentTo(1))
+			Expect(b.engine.Budget.Statistics("catalogue").Spent).To(BeEquivalentTo(0))
+		},
+		Entry("to another replica", run(reply), true),
+		Entry("not a second time", fail(target.NotRun, target.Waiting), false),
+	)
+
+	DescribeTable("hedges an attempt at the word of the owner of its target, long before its age says so",
+		func(idempotent bool, hedges int) {
+			b := newBench()
+			b.service.Idempotent = idempotent
+			told := false
+			b.script = shard0(func(ctx context.Context, a attempt.Attempt, n int) (target.Reply, error) {
+				if told = a.Late != nil; told {
+					a.Late()
+				}
+				if hedges == 0 {
+					return reply(ctx, a, n)
+				}
+
+				return stall(target.Unknown)(ctx, a, n)
+			}, reply)
+			answer, refusal := b.answer(context.Background())
+			Expect(refusal).To(BeNil())
+			Expect(answer.Coverage.Whole).To(BeTrue())
+			Expect(told).To(Equal(idempotent))
+			Expect(b.engine.Statistics().Hedges).To(BeEquivalentTo(hedges))
+		},
+		Entry("a straggler", true, 1),
+		Entry("never one of a request that is not idempotent", false, 0),
+	)
+
 	It("hedges again when the hedge is a straggler too, so that few replicas do not leave a shard out", func() {
 		b := newBench()
 		b.script = shard0(stall(target.Unknown), stall(target.Unknown), reply)
--- a/internal/query/fanout/flight.go
+++ b/internal/query/fanout/flight.go
@@ -22,6 +22,10 @@
 	started time.Time
 	timeout time.Duration
 	kind    kind
+	// late is set when the owner of the target has said that the attempt is a straggler.
+	late atomic.Bool
+	// moves is set when the owner has given the attempt back, not run, for another replica.
+	moves bool
 
 	// The result: hits if replied, otherwise outcome and code.
 	replied bool
@@ -56,6 +60,10 @@
 	a.Query.Version = f.round.pin.Version
 	a.Query.Shard, a.Query.Shards = f.shard.number, f.round.pin.Shards()
 	a.Query.Timeout = duration.Duration(f.timeout)
+	if f.round.hedging && f.query.engine.HedgeDelay == nil {
+		a.Late = f.noteLate
+		a.Movable = f.kind == first && len(f.shard.replicas) > 1
+	}
 
 	reply, err := e.Run(&f.ctx, a)
 	if err == nil {
@@ -72,6 +80,12 @@
 	}
 }
 
+// noteLate is called by the owner of the target.
+func (f *flight) noteLate() {
+	f.late.Store(true)
+	f.query.queue.signal()
+}
+
 // fail records the outcome of an error and passes on what it says about the target. It does so even for attempts that the
 // query no longer waits for.
 func (f *flight) fail(err error) {
@@ -89,6 +103,8 @@
 	switch f.code {
 	case target.VersionUnavailable:
 		e.Withdraw(f.replica.Address, f.round.pin.Version)
+	case target.Waiting:
+		f.moves = f.kind == first
 	case target.Shed, target.QueueFull:
 		if e.Overloaded != nil {
 			e.Overloaded(f.query.request.Service)
--- a/internal/query/fanout/hedge.go
+++ b/internal/query/fanout/hedge.go
@@ -16,8 +16,9 @@
 		if s.state != open || s.hedges >= limit {
 			continue
 		}
-		due := s.latest().started.Add(r.delay)
-		if !now.Before(due) {
+		last := s.latest()
+		due := last.started.Add(r.delay)
+		if last.late.Load() || !now.Before(due) {
 			q.another(s, now)
 			due = now.Add(r.delay)
 		}
--- a/internal/query/fanout/recover.go
+++ b/internal/query/fanout/recover.go
@@ -45,6 +45,16 @@
 		return false
 	}
 	replica, ok := q.choose(f.shard)
+	if f.moves {
+		// Nothing has run, so that a move takes no token. Without another replica, the attempt waits at its own again.
+		if !ok {
+			replica = f.replica
+		}
+		e.counters.moves.Add(1)
+		q.start(&flight{id: q.attemptIDs(1)[0]}, f.shard, replica, retry, now, timeout)
+
+		return true
+	}
 	if !ok {
 		return f.shard.unavailable && q.restart(now)
 	}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -150,6 +150,8 @@
 	// The owner sees a delay before the reply brings it to the instance that accepted the request, and it alone sees that of
 	// attempts which the queue refuses.
 	e.slots.OnDelay = e.observeDelay
+	held := hedge.New(hedge.WithTimers(e.timers), hedge.WithExtraLoad(e.extraLoad), hedge.WithHolds())
+	e.slots.Late, e.slots.OnHeld = held.Delay, held.ObserveHeld
 }
 
 // variant returns the way in which instances share a target's slots. Without owners every instance sends directly.
@@ -238,11 +240,7 @@
 		Overloaded: e.overloaded,
 		Random:     rand.Uint64,
 		Budget:     e.budget,
-		Hedge: hedge.New(hedge.WithTimers(e.timers), hedge.WithExtraLoad(func(service string) float64 {
-			s, _ := e.service(service)
-
-			return s.ExtraLoad
-		})),
+		Hedge:      hedge.New(hedge.WithTimers(e.timers), hedge.WithExtraLoad(e.extraLoad)),
 		Timers:     e.timers,
 		Log:        e.log,
 		ReturnPath: e.settings.ReturnPath,
@@ -341,6 +339,8 @@
 			func() float64 { return float64(e.engine.Statistics().Hedges) }},
 		{"hickorynotch.target.retries", "Retries since the start.",
 			func() float64 { return float64(e.engine.Statistics().Retries) }},
+		{"hickorynotch.target.moves", "Attempts given back by the owner of a target before they had a slot, and moved to another replica.",
+			func() float64 { return float64(e.engine.Statistics().Moves) }},
 		{"hickorynotch.target.restarts", "Requests restarted on a newer snapshot since the start.",
 			func() float64 { return float64(e.engine.Statistics().Restarts) }},
 		{"hickorynotch.target.mismatches", "Replies discarded because they belong to another attempt.",
--- a/internal/run/entry/query.go
+++ b/internal/run/entry/query.go
@@ -32,6 +32,13 @@
 	return s, ok
 }
 
+// extraLoad returns the ExtraLoad of a service, 0 for an unknown one.
+func (e *Entry) extraLoad(service string) float64 {
+	s, _ := e.service(service)
+
+	return s.ExtraLoad
+}
+
 // answer runs a caller's request and records how it ended.
 func (e *Entry) answer(ctx context.Context, r caller.Request) (caller.Answer, error) {
 	began := e.timers.Now()
@@ -132,7 +139,10 @@
 		if failure.Report != nil {
 			e.learn(a, failure.Report)
 		}
-		e.metrics.Attempt(ctx, a.Query.Service, string(failure.Code), took)
+		// An attempt that its owner gave back was no target request.
+		if failure.Code != target.Waiting {
+			e.metrics.Attempt(ctx, a.Query.Service, string(failure.Code), took)
+		}
 	}
 
 	return reply, err
@@ -160,7 +170,7 @@
 		return link.Failed
 	}
 	switch failure.Code {
-	case target.OwnerLeaving:
+	case target.OwnerLeaving, target.Waiting:
 		return link.Abandoned
 	case target.Shed, target.Draining, target.TooLate, target.Overconnected, target.VersionUnavailable, target.BadQuery,
 		target.QueueFull:
--- a/internal/wire/peer/client.go
+++ b/internal/wire/peer/client.go
@@ -128,7 +128,16 @@
 func (c *Client) Relay(ctx context.Context, to netip.AddrPort, a attempt.Attempt) (target.Reply, error) {
 	var out relayReply
 	timeout := a.Query.Timeout.Std() + relaySlack
-	handed, err := c.call(ctx, poolKey{address: to}, timeout, rpcRelay, &relayRequest{Sender: c.sender, Attempt: a}, &out)
+	request := &relayRequest{Sender: c.sender, Attempt: a, Late: a.Late != nil}
+	handed, err := c.call(ctx, poolKey{address: to}, timeout, rpcRelay, request, &out, func() bool {
+		late := out.Late && a.Late != nil
+		if late {
+			a.Late()
+			a.Late, out = nil, relayReply{}
+		}
+
+		return late
+	})
 	switch {
 	case err != nil:
 		failure := relayFailure(ctx, handed, err)
@@ -139,6 +148,8 @@
 		return target.Reply{}, failure
 	case out.Failure != nil:
 		return target.Reply{}, out.Failure
+	case out.Late:
+		return target.Reply{}, &target.Failure{Outcome: target.Unknown, Code: target.Malformed, Message: "relay: late twice or unasked"}
 	}
 	if err := out.Reply.Matches(&a.Query); err != nil {
 		return target.Reply{}, &target.Failure{Outcome: target.Unknown, Code: target.Mismatched, Message: err.Error()}
@@ -229,18 +240,20 @@
 }
 
 func (c *Client) control(ctx context.Context, to netip.AddrPort, rpc string, in, out any) error {
-	_, err := c.call(ctx, poolKey{address: to, control: true}, c.callTimeout, rpc, in, out)
+	_, err := c.call(ctx, poolKey{address: to, control: true}, c.callTimeout, rpc, in, out, nil)
 
 	return Error.Wrap(err)
 }
 
-// call makes one call and reports whether a byte of the request was handed to a connection.
+// call makes one call and reports whether a byte of the request was handed to a connection. A call with more takes messages
+// into out until more returns false.
 func (c *Client) call(
 	ctx context.Context,
 	key poolKey,
 	timeout time.Duration,
 	rpc string,
 	in, out any,
+	more func() bool,
 ) (handed bool, err error) {
 	data, err := encoding{}.Marshal(in)
 	if err != nil {
@@ -253,7 +266,7 @@
 		return false, err
 	}
 	written, read := l.transport.written.Load(), l.transport.read.Load()
-	err = l.invoke(ctx, rpc, encoded(data), out)
+	err = l.invoke(ctx, rpc, encoded(data), out, more)
 	handed = l.transport.written.Load() != written
 
 	keep := true
@@ -287,7 +300,7 @@
 		transport: transport,
 		conn:      drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions(0)}),
 	}
-	if err := l.invoke(ctx, rpcHello, &hello{Sender: c.sender}, &done{}); err != nil {
+	if err := l.invoke(ctx, rpcHello, &hello{Sender: c.sender}, &done{}, nil); err != nil {
 		_ = l.conn.Close()
 
 		return nil, err
--- a/internal/wire/peer/description.go
+++ b/internal/wire/peer/description.go
@@ -9,6 +9,10 @@
 // description implements drpc.Description, as protoc-gen-go-drpc would generate it.
 type description struct{}
 
+// relayMethod has the types by which drpc recognises a call with one message each way. The relay sends another message of the
+// same type before its reply when the attempt is late.
+var relayMethod = func(*Server, context.Context, *relayRequest) (*relayReply, error) { return nil, errUnimplemented }
+
 var _ drpc.Description = description{}
 
 // NumMethods implements drpc.Description.
@@ -23,9 +27,9 @@
 			return srv.(*Server).hello(ctx, in.(*hello))
 		}, (*Server).hello, true
 	case 1:
-		return rpcRelay, enc, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
-			return srv.(*Server).relay(ctx, in.(*relayRequest))
-		}, (*Server).relay, true
+		return rpcRelay, enc, func(srv any, ctx context.Context, in, stream any) (drpc.Message, error) {
+			return srv.(*Server).relay(ctx, in.(*relayRequest), stream.(drpc.Stream))
+		}, relayMethod, true
 	case 2:
 		return rpcPing, enc, func(srv any, ctx context.Context, in, _ any) (drpc.Message, error) {
 			return srv.(*Server).ping(ctx, in.(*ping))
--- a/internal/wire/peer/message.go
+++ b/internal/wire/peer/message.go
@@ -88,6 +88,8 @@
 type relayRequest struct {
 	Sender  Sender
 	Attempt attempt.Attempt
+	// Late asks for a message before the reply when the attempt is late.
+	Late bool `cbor:",omitempty"`
 }
 
 // Check returns the faults of m.
@@ -101,8 +103,9 @@
 	return faults.Err()
 }
 
-// relayReply holds either a reply or a failure.
+// relayReply holds either a reply or a failure, or says that the attempt is late and that one of them follows.
 type relayReply struct {
+	Late    bool            `cbor:",omitempty"`
 	Reply   *target.Reply   `cbor:",omitempty"`
 	Failure *target.Failure `cbor:",omitempty"`
 }
@@ -111,6 +114,10 @@
 func (m *relayReply) Check() error {
 	var faults fault.List
 	switch {
+	case m.Late:
+		if m.Reply != nil || m.Failure != nil {
+			faults.Add("Late", "must be alone in its message")
+		}
 	case (m.Reply == nil) == (m.Failure == nil):
 		faults.Add("Reply", "exactly one of Reply and Failure must be set")
 	case m.Reply != nil:
--- a/internal/wire/peer/peer_test.go
+++ b/internal/wire/peer/peer_test.go
@@ -154,6 +154,34 @@
 		}
 	})
 
+	DescribeTable("tells a sender that asks for it that the attempt is late, once and before the reply",
+		func(asks bool, times, told int) {
+			r := newRig(relay(func(ctx context.Context, s peer.Sender, a attempt.Attempt) (target.Reply, error) {
+				Expect(a.Late != nil).To(Equal(asks))
+				for range times {
+					a.Late()
+				}
+
+				return answer(ctx, s, a)
+			}))
+			for range 3 {
+				a, n := newAttempt(), 0
+				if asks {
+					a.Late = func() { n++ }
+				}
+				reply, err := r.client.Relay(context.Background(), r.address, a)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(reply).To(Equal(replyTo(a.Query)))
+				Expect(n).To(Equal(told))
+			}
+			Expect(r.dials.Load()).To(BeEquivalentTo(1))
+		},
+		Entry("an attempt in time has one message", true, 0, 0),
+		Entry("a late attempt", true, 1, 1),
+		Entry("a repeated call does not fail the relay", true, 2, 1),
+		Entry("a request that is not idempotent is never told of", false, 0, 0),
+	)
+
 	DescribeTable("reports what the peer says, and Unknown for what it leaves open",
 		func(reply target.Reply, failure error, outcome target.Outcome, code target.Code) {
 			r := newRig(relay(func(context.Context, peer.Sender, attempt.Attempt) (target.Reply, error) { return reply, failure }))
--- a/internal/wire/peer/pool.go
+++ b/internal/wire/peer/pool.go
@@ -59,11 +59,15 @@
 
 // invoke makes a call whose context does not end any more once the call has ended. drpc watches the context for a moment
 // longer, and its end in that moment, by the timeout's release or by the caller, would fail the next call on the connection.
-func (l *link) invoke(ctx context.Context, rpc string, in, out any) error {
+func (l *link) invoke(ctx context.Context, rpc string, in, out any, more func() bool) error {
 	detached, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	defer stop()
 
+	if more != nil {
+		return l.receive(detached, rpc, in, out, more)
+	}
+
 	return l.conn.Invoke(detached, rpc, encoding{}, in, out)
 }
 
--- a/internal/wire/peer/server.go
+++ b/internal/wire/peer/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
@@ -192,7 +193,7 @@
 	return &done{}, nil
 }
 
-func (s *Server) relay(ctx context.Context, in *relayRequest) (*relayReply, error) {
+func (s *Server) relay(ctx context.Context, in *relayRequest, stream drpc.Stream) (*relayReply, error) {
 	if err := s.admit(ctx, in.Sender, s.relayFunc != nil); err != nil {
 		return nil, err
 	}
@@ -203,6 +204,11 @@
 	}
 	defer s.endRelay()
 
+	if in.Late {
+		n := &notice{stream: stream}
+		in.Attempt.Late = n.send
+		defer n.end()
+	}
 	reply, err := s.relayFunc(ctx, in.Sender, in.Attempt)
 	if err == nil {
 		return &relayReply{Reply: &reply}, nil
@@ -215,6 +221,29 @@
 	return &relayReply{Failure: failure}, nil
 }
 
+// notice sends the message that an attempt is late, never after its reply.
+type notice struct {
+	mu     sync.Mutex
+	stream drpc.Stream
+	ended  bool
+}
+
+func (n *notice) send() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.ended {
+		n.ended = true
+		// A stream that fails fails the reply as well.
+		_ = n.stream.MsgSend(&relayReply{Late: true}, encoding{})
+	}
+}
+
+func (n *notice) end() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ended = true
+}
+
 func (s *Server) ping(ctx context.Context, in *ping) (*ack, error) {
 	if err := s.admit(ctx, in.Sender, s.pingFunc != nil); err != nil {
 		return nil, err
--- a/internal/wire/target/failure.go
+++ b/internal/wire/target/failure.go
@@ -38,6 +38,8 @@
 	Malformed   Code = "Malformed"   // the reply does not decode, is truncated or too large
 	Mismatched  Code = "Mismatched"  // the reply belongs to another query
 	QueueFull   Code = "QueueFull"   // the owner's queue for the target is at its bound
+	// Waiting means that the owner gave an attempt back that waited for a slot, for another replica.
+	Waiting Code = "Waiting"
 	// OwnerLeaving means that the instance that was taken for the owner stops and takes no relays.
 	OwnerLeaving Code = "OwnerLeaving"
 )
