Keep the replica that a move leaves for a hedge

A moved attempt had asked both replicas of its shard by the list of those tried, so that a straggler after a move was never hedged. The replica that is left was not asked, and is taken off the list.

The age at which an attempt is hedged without a word from its owner falls from 2 times to 1.5 times the delay, for relays that are late themselves.

--- a/internal/query/fanout/fanout.go
+++ b/internal/query/fanout/fanout.go
@@ -42,7 +42,7 @@
 	settleTime = 2 * time.Millisecond
 	// silentFactor is what the age of an attempt is allowed over that of package hedge before it counts as late without a
 	// word from the owner of its target. The age includes the wait for a slot, which no hedge shortens by itself.
-	silentFactor = 2
+	silentFactor = 1.5
 	// releaseTimeout bounds the deletion of a claim. The store answers in milliseconds.
 	releaseTimeout = 100 * time.Millisecond
 )
@@ -265,7 +265,7 @@
 
 	delay, ok := e.Hedge.Delay(service)
 
-	return silentFactor * delay, ok
+	return time.Duration(silentFactor * float64(delay)), ok
 }
 
 // hedgeSpend reports whether n hedges of service are paid for.
--- a/internal/query/fanout/recover.go
+++ b/internal/query/fanout/recover.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -50,6 +51,8 @@
 		if !ok {
 			replica = f.replica
 		}
+		// The replica that it leaves stays free for a hedge, because it was not asked.
+		f.shard.tried = slices.DeleteFunc(f.shard.tried, func(a netip.AddrPort) bool { return a == f.replica.Address })
 		e.counters.moves.Add(1)
 		q.start(&flight{id: q.attemptIDs(1)[0]}, f.shard, replica, retry, now, timeout)
 
