Run the stand-ins' subcommands by one function

Cause: target and targets repeated how settings are taken from the environment, how a signal ends the process and how an error is printed; platform left the environment out.

Change: run does it for all three, so platform takes HICKORYNOTCH_STANDIN_ variables too.

--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"net"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -37,20 +34,11 @@
 	flags.DurationVar(&c.listLag, "list-lag", 5*time.Second, "how long a change of the list takes to become visible")
 }
 
-func (c *platformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
-
-	if err := c.run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-
-		return subcommands.ExitFailure
-	}
-
-	return subcommands.ExitSuccess
+func (c *platformCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return run(ctx, f, c.serve)
 }
 
-func (c *platformCommand) run(ctx context.Context) error {
+func (c *platformCommand) serve(ctx context.Context) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", c.address.String())
 	if err != nil {
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -7,10 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -20,9 +17,6 @@
 	wire "github.com/hickorynotch/hickorynotch/internal/wire/target"
 )
 
-// environmentPrefix is put before the upper-case name of a flag, with underscores for hyphens.
-const environmentPrefix = "HICKORYNOTCH_STANDIN_"
-
 type targetCommand struct {
 	listen, control, service, holdings string
 	slots, queue, connections          int
@@ -58,21 +52,10 @@
 }
 
 func (c *targetCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := fromEnvironment(f)
-	if err == nil {
-		err = c.serve(ctx)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-
-	return subcommands.ExitSuccess
+	return run(ctx, f, c.serve)
 }
 
 func (c *targetCommand) serve(ctx context.Context) error {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	holdings, err := parseHoldings(c.holdings)
 	if err != nil {
 		return err
@@ -109,25 +92,6 @@
 	return t.Serve(ctx, listener)
 }
 
-// fromEnvironment sets the flags that the command line leaves out from the environment and reports all bad values.
-func fromEnvironment(f *flag.FlagSet) error {
-	given := map[string]bool{}
-	f.Visit(func(set *flag.Flag) { given[set.Name] = true })
-	var errs []error
-	f.VisitAll(func(known *flag.Flag) {
-		name := environmentPrefix + strings.ToUpper(strings.ReplaceAll(known.Name, "-", "_"))
-		value, ok := os.LookupEnv(name)
-		if !ok || given[known.Name] {
-			return
-		}
-		if err := f.Set(known.Name, value); err != nil {
-			errs = append(errs, fmt.Errorf("%s: %w", name, err))
-		}
-	})
-
-	return errors.Join(errs...)
-}
-
 // parseHoldings parses comma-separated holdings such as 7:0/20.
 func parseHoldings(text string) ([]wire.Holding, error) {
 	var holdings []wire.Holding
--- a/cmd/standin/targets.go
+++ b/cmd/standin/targets.go
@@ -7,12 +7,9 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"os"
-	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -61,22 +58,10 @@
 }
 
 func (c *targetsCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := fromEnvironment(f)
-	if err == nil {
-		err = c.serve(ctx)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-
-		return subcommands.ExitFailure
-	}
-
-	return subcommands.ExitSuccess
+	return run(ctx, f, c.serve)
 }
 
 func (c *targetsCommand) serve(ctx context.Context) error {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	targets, err := c.targets()
 	if err != nil {
 		return err
