Let relays wait for a busy peer instead of going past it

Cause: since the bound on the wait for a connection, a relay that found all places of the pool taken by other relays gave up after a third of its time and counted the peer as not reached. At twice the capacity the owner was then avoided, and its targets got requests past its queue: the worth answered fell.

Change: only a pool whose places are all taken by dials counts as a lost peer. When calls hold them, a relay waits on until its time ends.

--- a/internal/wire/peer/pool.go
+++ b/internal/wire/peer/pool.go
@@ -172,12 +172,18 @@
 	case <-waiting.Done():
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(own.dials) == cap(own.places) {
+	hangs := len(own.dials) == cap(own.places)
+	p.mu.Unlock()
+	if hangs {
 		return errNoConnection
 	}
-
-	return errPoolFull
+	// Calls hold the places. The peer is busy and not lost, so the call waits on instead of going past it.
+	select {
+	case own.places <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errPoolFull
+	}
 }
 
 // open dials in the place of a call, which passes to the dial. When the dial succeeds after the call has closed given, because
