Serve the users' platform by a gateway with its own adapter

Cause: the users' platform has its own store, settings file and headers, and the product had no path for their routes, shards and targets.

--- /dev/null
+++ b/cmd/hickorynotch/gateway.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/setting"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/node"
+	"github.com/hickorynotch/hickorynotch/platform"
+)
+
+// settingsRetry is the pause between two tries to read a settings file that cannot be used.
+const settingsRetry = time.Second
+
+// gatewayCommand runs an instance of the query tier on the users' platform.
+type gatewayCommand struct {
+	output   io.Writer
+	errors   io.Writer
+	settings *setting.Set
+	path     *string
+}
+
+func newGatewayCommand() *gatewayCommand {
+	return &gatewayCommand{output: os.Stdout, errors: os.Stderr}
+}
+
+func (*gatewayCommand) Name() string     { return "gateway" }
+func (*gatewayCommand) Synopsis() string { return "run an instance of the query tier on a platform" }
+func (*gatewayCommand) Usage() string {
+	return `gateway [-settings FILE]:
+  Serve callers by the configuration and the targets that are registered with the
+  platform, until SIGTERM or SIGINT, then stop gracefully.
+`
+}
+
+func (c *gatewayCommand) SetFlags(flags *flag.FlagSet) {
+	c.settings = setting.New(flags)
+	c.path = c.settings.String("settings", "", "path of the platform's settings file", setting.Required())
+}
+
+func (c *gatewayCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !resolve(c.errors, c.settings, flags) {
+		return subcommands.ExitUsageError
+	}
+	// A broken pipe of the output and a request to reload never end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := c.serve(ctx); err != nil {
+		_, _ = fmt.Fprintln(c.errors, err)
+
+		return subcommands.ExitFailure
+	}
+
+	return subcommands.ExitSuccess
+}
+
+func (c *gatewayCommand) serve(ctx context.Context) error {
+	timers := timer.New()
+	events := event.New(c.output, timers.Now)
+	log.SetFlags(0)
+	log.SetOutput(events.Writer(event.LibraryMessage))
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+
+	settings, err := c.load(ctx, timers, events)
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(settings.Store)
+	defer store.Close()
+	n, err := node.New(settings, node.Adapters{
+		Targets:        platform.TargetCodec(),
+		Callers:        platform.CallerCodec(),
+		Configurations: store.Configurations(),
+		Directory:      store.Targets(),
+	}, timers, node.WithLog(events))
+	if err != nil {
+		return err
+	}
+
+	return n.Run(ctx)
+}
+
+// load reads the settings file until it can be used.
+func (c *gatewayCommand) load(ctx context.Context, timers *timer.Service, events *event.Log) (node.Settings, error) {
+	for {
+		settings, err := platform.LoadSettings(*c.path)
+		if err == nil {
+			return settings, nil
+		}
+		events.Log(event.SettingsRejected, "Path", *c.path, "Error", err)
+		select {
+		case <-timers.After(settingsRetry):
+		case <-ctx.Done():
+			return node.Settings{}, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/run/event/tier.go
@@ -0,0 +1,20 @@
+package event
+
+// Events of the query tier on the users' platform.
+var (
+	SettingsReloaded = declare(1010, "SettingsReloaded", Info, "The settings file changed and was read again; Changed lists what differs.")
+	SettingsRejected = declare(1011, "SettingsRejected", Error, "The settings file cannot be used; the process waits or keeps the last good settings.")
+	LinesDropped     = declare(1012, "LinesDropped", Warning, "Log lines were dropped because the output did not take them.")
+
+	TargetFound     = declare(4010, "TargetFound", Info, "A target was registered.")
+	TargetGone      = declare(4011, "TargetGone", Info, "The entry of a target is gone; the target gets no new requests.")
+	TargetChanged   = declare(4012, "TargetChanged", Info, "The entry of a target changed its state.")
+	TargetMoved     = declare(4013, "TargetMoved", Warning, "Another process answers at the address of a target.")
+	TargetRejected  = declare(4014, "TargetRejected", Warning, "Entries name no target that can be used; the first fault is shown.")
+	ResponseForeign = declare(4015, "ResponseForeign", Warning, "A response to another request arrived on a connection and was dropped.")
+
+	RequestAnswered = declare(5010, "RequestAnswered", Info, "A request was answered; the line shows what decided its end.")
+	RequestRefused  = declare(5011, "RequestRefused", Warning, "A request was refused and has not run.")
+	RequestFailed   = declare(5012, "RequestFailed", Warning, "A request ended without an answer and may have run.")
+	RequestRejected = declare(5013, "RequestRejected", Warning, "A request is not allowed by the configuration or its limits.")
+)
--- a/internal/run/metric/metric.go
+++ b/internal/run/metric/metric.go
@@ -48,6 +48,7 @@
 	attempts otel.Float64Histogram
 	worth    otel.Float64Counter
 	bounds   otel.Int64Counter
+	tier     otel.Float64Histogram
 }
 
 // New returns a Set with a registry of its own.
@@ -89,6 +90,11 @@
 		otel.WithDescription("Declared worth of requests, by caller, class and result.")); err != nil {
 		return err
 	}
+	if s.tier, err = s.meter.Float64Histogram("hickorynotch.tier.duration",
+		otel.WithDescription("Time from a caller's request to its end, by route and result."),
+		otel.WithUnit("s"), otel.WithExplicitBucketBoundaries(latencyBounds...)); err != nil {
+		return err
+	}
 	s.bounds, err = s.meter.Int64Counter("hickorynotch.bound.reached",
 		otel.WithDescription("How often a queue, pool or map was at its bound, by name."))
 
@@ -136,6 +142,15 @@
 		otel.WithAttributes(attribute.String("service", service), attribute.String("result", result)))
 }
 
+// Tier records a request of a route that ended with result.
+func (s *Set) Tier(ctx context.Context, route, result string, took time.Duration) {
+	if s == nil {
+		return
+	}
+	s.tier.Record(ctx, took.Seconds(),
+		otel.WithAttributes(attribute.String("route", route), attribute.String("result", result)))
+}
+
 // BoundReached records that the named queue, pool or map was at its bound.
 func (s *Set) BoundReached(ctx context.Context, name string) {
 	if s == nil {
--- /dev/null
+++ b/internal/tier/caller/handler.go
@@ -0,0 +1,252 @@
+// Package caller serves the requests of callers over HTTP/1.1.
+//
+// A Handler finds the route of a request in the configuration in force, hands the request to the dispatcher and writes the
+// answer. A request is answered by the configuration that was in force when it was read:
+//
+//	handler := caller.NewHandler(codec, configuration.Current, dispatcher, timers)
+//	server := &http.Server{Handler: handler}
+//
+// A status of 503 or 429 means that the request has not run and never will. A status of 502 or 504 promises nothing.
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/metric"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+	"github.com/hickorynotch/hickorynotch/internal/world/route"
+)
+
+const (
+	// answerMargin is the time between a final answer and the moment at which its caller gives up. It covers the way to the
+	// caller, 3 ms, and the writing.
+	answerMargin = 12 * time.Millisecond
+	// unknownRetry is the advised pause while no configuration is known. Reading it takes a few calls of the store.
+	unknownRetry = 300 * time.Millisecond
+)
+
+// Request is what the headers of a caller's request say.
+type Request struct {
+	ID string
+	// TimeLeft is how long the caller waits from now; zero if it did not say.
+	TimeLeft time.Duration
+}
+
+// Codec translates between the fields of this package and the headers that callers use.
+type Codec struct {
+	DecodeRequest func(header http.Header) (Request, error)
+	// Forwarded reports whether a header of a request is passed on to targets, and Returned whether one of a target's response
+	// is passed on to the caller.
+	Forwarded func(name string) bool
+	Returned  func(name string) bool
+	// SetParts states what a merged answer was made of.
+	SetParts func(header http.Header, stamps []string, missing int)
+	// SetRetry states when a request that was not run is likely to be served.
+	SetRetry func(header http.Header, after time.Duration)
+}
+
+// Handler is an http.Handler for callers. It is safe for concurrent use.
+type Handler struct {
+	codec    Codec
+	current  func() *route.Table
+	dispatch Dispatch
+	timers   *timer.Service
+	log      *event.Log
+	metrics  *metric.Set
+	waits    waits
+	closing  atomic.Bool
+	inFlight atomic.Int64
+}
+
+// Dispatch answers queries.
+type Dispatch struct {
+	Gather  func(ctx context.Context, q *dispatch.Query) dispatch.Answer
+	Forward func(ctx context.Context, q *dispatch.Query) dispatch.Answer
+}
+
+// Option configures a Handler.
+type Option func(*Handler)
+
+// WithLog sets the log.
+func WithLog(log *event.Log) Option {
+	return func(h *Handler) { h.log = log }
+}
+
+// WithMetrics sets the metrics.
+func WithMetrics(metrics *metric.Set) Option {
+	return func(h *Handler) { h.metrics = metrics }
+}
+
+// NewHandler returns a Handler that serves by the configuration that current returns.
+func NewHandler(
+	codec Codec, current func() *route.Table, dispatch Dispatch, timers *timer.Service, options ...Option,
+) *Handler {
+	h := &Handler{codec: codec, current: current, dispatch: dispatch, timers: timers}
+	for _, option := range options {
+		option(h)
+	}
+
+	return h
+}
+
+// Close makes the handler ask callers to use other connections.
+func (h *Handler) Close() { h.closing.Store(true) }
+
+// InFlight returns the number of requests that are being served.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	received := h.timers.Now()
+	if h.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	request, err := h.codec.DecodeRequest(r.Header)
+	if err != nil {
+		h.reject(w, r, request, http.StatusBadRequest, err.Error())
+
+		return
+	}
+	table := h.current()
+	if table == nil {
+		h.refuse(w, request, "", unknownRetry, "NoConfiguration")
+
+		return
+	}
+	matched, ok := table.Match(r.Host, r.URL.EscapedPath())
+	if !ok {
+		h.reject(w, r, request, http.StatusNotFound, "no route")
+
+		return
+	}
+	body, err := readBody(w, r, table.Limits().BodyBytes)
+	if err != nil {
+		status := http.StatusBadRequest
+		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		h.reject(w, r, request, status, err.Error())
+
+		return
+	}
+	q := h.query(r, request, table, matched, body, received)
+	answer := h.answer(r.Context(), q)
+	h.respond(w, q, &answer)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body := io.Reader(r.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(w, r.Body, limit)
+	}
+
+	return io.ReadAll(body)
+}
+
+func (h *Handler) query(
+	r *http.Request, request Request, table *route.Table, matched *route.Route, body []byte, received time.Time,
+) *dispatch.Query {
+	q := &dispatch.Query{
+		Route:     matched,
+		Version:   table.Version(),
+		RequestID: request.ID,
+		Method:    r.Method,
+		Head:      h.head(r, body),
+		Body:      body,
+		Received:  received,
+		Deadline:  received.Add(matched.Timeout),
+	}
+	if request.TimeLeft > 0 {
+		q.Elapsed = h.waits.elapsed(matched.Name, request.TimeLeft)
+		if limit := received.Add(request.TimeLeft - answerMargin); limit.Before(q.Deadline) {
+			q.Deadline = limit
+		}
+	}
+
+	return q
+}
+
+// head returns the request line and the headers that are passed on. The target's own headers follow.
+func (h *Handler) head(r *http.Request, body []byte) []byte {
+	head := make([]byte, 0, 512)
+	head = append(head, r.Method...)
+	head = append(head, ' ')
+	head = append(head, requestURI(r)...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	head = append(head, r.Host...)
+	head = append(head, "\r\n"...)
+	dropped := r.Header.Values("Connection")
+	for name, values := range r.Header {
+		if hopByHop(name) || !h.codec.Forwarded(name) || listed(dropped, name) {
+			continue
+		}
+		for _, value := range values {
+			head = append(head, name...)
+			head = append(head, ": "...)
+			head = append(head, value...)
+			head = append(head, "\r\n"...)
+		}
+	}
+	if len(body) > 0 || r.ContentLength != 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(body)), 10)
+		head = append(head, "\r\n"...)
+	}
+
+	return head
+}
+
+// requestURI returns the target of the request line as it was received, without scheme and host.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+
+	return r.URL.RequestURI()
+}
+
+// hopByHop reports whether a header concerns one connection only. The length of the body is written anew.
+func hopByHop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length", "Expect":
+		return true
+	}
+
+	return false
+}
+
+// listed reports whether a Connection header names the header.
+func listed(connection []string, name string) bool {
+	for _, value := range connection {
+		for token := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), name) {
+				return true
+			}
+		}
+	}
+
+	return false
+}
+
+func (h *Handler) answer(ctx context.Context, q *dispatch.Query) dispatch.Answer {
+	if q.Route.Gather != nil {
+		return h.dispatch.Gather(ctx, q)
+	}
+
+	return h.dispatch.Forward(ctx, q)
+}
--- /dev/null
+++ b/internal/tier/dispatch/merge.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"cmp"
+	"container/heap"
+	"encoding/binary"
+	"slices"
+)
+
+// recordBytes is the size of a record. A remainder of a part that is shorter is not a record.
+const recordBytes = 16
+
+// record is a record as two numbers that compare as its bytes do.
+type record struct{ high, low uint64 }
+
+func compare(a, b record) int {
+	return cmp.Or(cmp.Compare(a.high, b.high), cmp.Compare(a.low, b.low))
+}
+
+// merger keeps the greatest records of all parts. Equal records all count.
+type merger struct {
+	top  int
+	heap minimum
+}
+
+func newMerger(top int) *merger {
+	return &merger{top: max(top, 0)}
+}
+
+func (m *merger) add(part []byte) {
+	for ; len(part) >= recordBytes; part = part[recordBytes:] {
+		r := record{binary.BigEndian.Uint64(part), binary.BigEndian.Uint64(part[recordBytes/2:])}
+		switch {
+		case len(m.heap) < m.top:
+			heap.Push(&m.heap, r)
+		case m.top > 0 && compare(r, m.heap[0]) > 0:
+			m.heap[0] = r
+			heap.Fix(&m.heap, 0)
+		}
+	}
+}
+
+// records returns the records that were kept, greatest first.
+func (m *merger) records() []byte {
+	slices.SortFunc(m.heap, func(a, b record) int { return compare(b, a) })
+	out := make([]byte, 0, len(m.heap)*recordBytes)
+	for _, r := range m.heap {
+		out = binary.BigEndian.AppendUint64(out, r.high)
+		out = binary.BigEndian.AppendUint64(out, r.low)
+	}
+
+	return out
+}
+
+// minimum is a heap whose first record is the smallest.
+type minimum []record
+
+// Len implements heap.Interface.
+func (h minimum) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h minimum) Less(i, j int) bool { return compare(h[i], h[j]) < 0 }
+
+// Swap implements heap.Interface.
+func (h minimum) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *minimum) Push(x any) { *h = append(*h, x.(record)) }
+
+// Pop implements heap.Interface.
+func (h *minimum) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+
+	return last
+}
--- /dev/null
+++ b/internal/tier/node/node.go
@@ -0,0 +1,247 @@
+// Package node assembles an instance of the query tier: its servers, its keepers and its dispatcher.
+//
+//	n, err := node.New(settings, adapters, timers)
+//	err = n.Run(ctx) // until ctx ends, then a graceful stop
+//
+// A run group owns the parts, so that they stop together. suture restarts keepers that fail.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/thejerf/suture/v4"
+	"github.com/zeebo/errs"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
+	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/metric"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/caller"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+	"github.com/hickorynotch/hickorynotch/internal/tier/target"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
+	"github.com/hickorynotch/hickorynotch/internal/world/route"
+)
+
+// Error is the class of the errors of this package.
+var Error = errs.Class("node")
+
+const (
+	// memoryShare is the part of the machine's memory that the garbage collector keeps the process under.
+	memoryShare = 0.6
+	// headerTimeout and idleTimeout bound slow and idle callers. Both are above the limits of the users' configurations.
+	headerTimeout = 15 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes is above the limit of the users' configurations.
+	maxHeaderBytes = 64 << 10
+	// targetPeriod is the time between two reads of the targets' entries.
+	targetPeriod = time.Second
+	// configurationWait is how long a call waits for a new configuration.
+	configurationWait = 3 * time.Second
+	// defaultReturnPath is the time between the objective of a caller and the end of a gathered query here: opening a
+	// connection and sending a request takes 9 ms at 3 ms each way, the answer 3 ms, and the rest is for waiting processors.
+	defaultReturnPath = 20 * time.Millisecond
+)
+
+// Adapters connect the instance with its surroundings.
+type Adapters struct {
+	Targets        target.Codec
+	Callers        caller.Codec
+	Configurations control.ConfigurationSource
+	Directory      control.TargetSource
+}
+
+// Node is an instance of the query tier.
+type Node struct {
+	settings Settings
+	timers   *timer.Service
+	log      *event.Log
+	metrics  *metric.Set
+
+	configuration *control.Configuration
+	targets       *control.Targets
+	fleet         *target.Fleet
+	ledger        *budget.Ledger
+	dispatcher    *dispatch.Dispatcher
+	handler       *caller.Handler
+
+	listed   atomic.Bool // the targets are known
+	stopping atomic.Bool
+	ready    atomic.Bool // as it was last logged
+}
+
+// Option configures a Node.
+type Option func(*Node)
+
+// WithLog sets the log.
+func WithLog(log *event.Log) Option {
+	return func(n *Node) { n.log = log }
+}
+
+// New returns a Node that does not run yet.
+func New(settings Settings, adapters Adapters, timers *timer.Service, options ...Option) (n *Node, err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	n = &Node{settings: settings, timers: timers}
+	for _, option := range options {
+		option(n)
+	}
+	if n.metrics, err = metric.New(); err != nil {
+		return nil, err
+	}
+	n.fleet = target.NewFleet(adapters.Targets, timers, target.WithLog(n.log))
+	n.ledger = budget.NewLedger(timers.Now(), n.budget)
+	n.dispatcher = dispatch.New(n.fleet, n.ledger, timers, dispatch.Settings{
+		Place: choice.Place{
+			AvailabilityZone: settings.AvailabilityZone, Region: settings.Region, Regions: settings.Regions,
+		},
+		ReturnPath: defaultReturnPath,
+		Hedges:     true,
+	}, dispatch.WithLog(n.log), dispatch.WithMetrics(n.metrics))
+	n.configuration = control.NewConfiguration(adapters.Configurations, timers, configurationWait,
+		control.WithConfigurationLog(n.log), control.OnAdopted(func(t *route.Table) { n.dispatcher.Keep(t) }))
+	n.targets = control.NewTargets(adapters.Directory, timers, targetPeriod, n.adopt, control.WithTargetsLog(n.log))
+	n.handler = caller.NewHandler(adapters.Callers, n.configuration.Current,
+		caller.Dispatch{Gather: n.dispatcher.Gather, Forward: n.dispatcher.Forward}, timers,
+		caller.WithLog(n.log), caller.WithMetrics(n.metrics))
+
+	return n, nil
+}
+
+func (n *Node) adopt(d *directory.Directory) {
+	n.fleet.Update(d)
+	n.listed.Store(true)
+}
+
+// budget returns the bounds for extra requests in force.
+func (n *Node) budget() budget.Limits {
+	return budget.Limits{
+		Ratio:     n.settings.RetryRatio,
+		Allowance: n.settings.RetryAllowance,
+		Window:    n.settings.RetryWindow,
+		Instances: assumedInstances,
+	}
+}
+
+// assumedInstances is the size of the fleet while it is not known: the users' small sites with their spare machines.
+const assumedInstances = 11
+
+// Ready reports whether the instance can serve: it knows the configuration and the targets and is not about to stop.
+func (n *Node) Ready() bool {
+	return n.configuration.Current() != nil && n.listed.Load() && !n.stopping.Load()
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (n *Node) Run(ctx context.Context) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Memory)))
+	n.log.Log(event.InstanceStarting, "Instance", n.settings.Name, "AvailabilityZone", n.settings.AvailabilityZone,
+		"Callers", n.settings.Callers, "Store", n.settings.Store)
+	defer n.fleet.Close()
+
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	callers := &http.Server{
+		Handler:           n.handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	var group run.Group
+	group.Add(func() error {
+		<-ctx.Done()
+		n.stop(callers)
+
+		return nil
+	}, func(error) {})
+	supervisor := n.supervisor()
+	group.Add(func() error { return ignoreCancel(supervisor.Serve(parts)) }, func(error) { stopParts() })
+	for _, s := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{n.settings.Callers.String(), callers},
+		{n.settings.Readiness.String(), n.probeServer()},
+		{n.settings.Operator.String(), n.operatorServer()},
+	} {
+		listener, err := new(net.ListenConfig).Listen(ctx, "tcp", s.address)
+		if err != nil {
+			return err
+		}
+		group.Add(func() error { return ignoreClosed(s.server.Serve(listener)) }, func(error) { _ = s.server.Close() })
+	}
+
+	return group.Run()
+}
+
+func (n *Node) supervisor() *suture.Supervisor {
+	supervisor := suture.New(n.settings.Name, suture.Spec{
+		EventHook: func(failed suture.Event) { n.log.Log(event.ServiceFailed, "Reason", failed.String()) },
+	})
+	supervisor.Add(service{"configuration", n.configuration.Run})
+	supervisor.Add(service{"targets", n.targets.Run})
+
+	return supervisor
+}
+
+// service is a supervised part of an instance.
+type service struct {
+	name  string
+	serve func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error { return s.serve(ctx) }
+
+// String names the service in the supervisor's events.
+func (s service) String() string { return s.name }
+
+// probeServer answers the load balancer on any path.
+func (n *Node) probeServer() *http.Server {
+	return &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		ready := n.Ready()
+		if n.ready.Swap(ready) != ready {
+			if ready {
+				n.log.Log(event.InstanceReady, "Version", n.configuration.Current().Version())
+			} else {
+				n.log.Log(event.InstanceNotReady, "Stopping", n.stopping.Load())
+			}
+		}
+		if !ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+}
+
+func (n *Node) operatorServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", n.metrics.Handler())
+
+	return &http.Server{ReadHeaderTimeout: headerTimeout, Handler: mux}
+}
+
+func ignoreCancel(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+
+	return err
+}
--- /dev/null
+++ b/internal/tier/node/stop.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+)
+
+const (
+	// noticeShare is the part of the stop timeout in which the balancer notices that the instance is not ready. It asks each
+	// second and takes an instance out after two misses.
+	noticeShare = 0.45
+	// acceptShare is the part of the stop timeout after which no new connections are accepted. Until then the balancer may
+	// still send some, if too few other instances are ready.
+	acceptShare = 0.72
+	// endShare is the part of the stop timeout after which the process ends, before it is ended by force.
+	endShare = 0.95
+)
+
+// stop finishes what is in flight. Callers learn first from the readiness and then from each answer that they should use other
+// connections; idle connections are closed before the end.
+func (n *Node) stop(callers *http.Server) {
+	started := n.timers.Now()
+	share := func(of float64) time.Time {
+		return started.Add(time.Duration(of * float64(n.settings.StopTimeout)))
+	}
+	n.stopping.Store(true)
+	n.log.Log(event.InstanceStopping, "InFlight", n.handler.InFlight())
+	<-n.timers.After(n.timers.Until(share(noticeShare)))
+	n.handler.Close()
+	<-n.timers.After(n.timers.Until(share(acceptShare)))
+
+	ctx, cancel := n.timers.WithTimeout(context.Background(), n.timers.Until(share(endShare)))
+	defer cancel()
+	err := callers.Shutdown(ctx)
+	n.log.Log(event.InstanceStopped, "InFlight", n.handler.InFlight(), "Error", err)
+}
