Wait for the graceful stop before the run group ends

Change: the servers' part of the group ends once the stop has finished. The new test of node fails without it.

--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -158,7 +158,9 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	var group run.Group
+	stopped := make(chan struct{})
 	group.Add(func() error {
+		defer close(stopped)
 		<-ctx.Done()
 		n.stop(callers)
 
@@ -178,7 +180,15 @@
 		if err != nil {
 			return err
 		}
-		group.Add(func() error { return ignoreClosed(s.server.Serve(listener)) }, func(error) { _ = s.server.Close() })
+		group.Add(func() error {
+			err := ignoreClosed(s.server.Serve(listener))
+			if err == nil {
+				// Serve returns when a shutdown begins, and the group ends with its first part.
+				<-stopped
+			}
+
+			return err
+		}, func(error) { _ = s.server.Close() })
 	}
 
 	return group.Run()
--- /dev/null
+++ b/internal/tier/node/node_test.go
@@ -0,0 +1,194 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+	"github.com/hickorynotch/hickorynotch/internal/tier/node"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
+	"github.com/hickorynotch/hickorynotch/internal/world/route"
+	"github.com/hickorynotch/hickorynotch/platform"
+)
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() netip.AddrPort {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// backend is a target that answers each request with a record and counts what it ran.
+type backend struct {
+	server *httptest.Server
+	target *directory.Target
+	ran    atomic.Int64
+	// hold, if set, keeps requests waiting until it is closed.
+	hold chan struct{}
+}
+
+func newBackend(service, id string) *backend {
+	b := &backend{hold: make(chan struct{})}
+	close(b.hold)
+	b.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Expected-Instance") != b.target.ID {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+
+			return
+		}
+		b.ran.Add(1)
+		<-b.hold
+		requestID := r.Header.Get("X-Request-Id")
+		w.Header().Set("X-Request-Id", requestID)
+		w.Header().Set("X-Response-Stamp", b.target.ID+"."+requestID)
+		_, _ = io.WriteString(w, fmt.Sprintf("%-16s", id))
+	}))
+	DeferCleanup(b.server.Close)
+	b.target = &directory.Target{
+		ID: id, Service: service, AvailabilityZone: "Kochi", Slots: 2,
+		Address: netip.MustParseAddrPort(strings.TrimPrefix(b.server.URL, "http://")),
+	}
+
+	return b
+}
+
+// instance is a node that runs with the given targets.
+type instance struct {
+	settings node.Settings
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+func start(table *route.Table, backends ...*backend) *instance {
+	i := &instance{ended: make(chan error, 1), settings: node.Settings{
+		Name: "a", AvailabilityZone: "Kochi", Region: "Kerala", Regions: map[string]string{"Kochi": "Kerala"},
+		Callers: freeAddress(), Readiness: freeAddress(), Operator: freeAddress(), Peer: freeAddress(),
+		Memory: 256 << 20, StopTimeout: 2 * time.Second,
+		RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second,
+	}}
+	var targets []*directory.Target
+	for _, b := range backends {
+		targets = append(targets, b.target)
+	}
+	n, err := node.New(i.settings, node.Adapters{
+		Targets: platform.TargetCodec(),
+		Callers: platform.CallerCodec(),
+		Configurations: control.ConfigurationSource{
+			Read: func(context.Context) (control.Stored, error) { return control.Stored{Table: table, Revision: 1}, nil },
+			Wait: func(ctx context.Context, after uint64, _ time.Duration) (control.Stored, error) {
+				<-ctx.Done()
+
+				return control.Stored{Revision: after}, ctx.Err()
+			},
+		},
+		Directory: control.TargetSource{List: func(context.Context) (control.Listed, error) {
+			return control.Listed{Targets: targets}, nil
+		}},
+	}, timer.New())
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	go func() { i.ended <- n.Run(ctx) }()
+	DeferCleanup(cancel)
+	Eventually(func() int { return i.ready() }, "5s", "10ms").Should(Equal(http.StatusOK))
+
+	return i
+}
+
+func (i *instance) ready() int {
+	response, err := http.Get("http://" + i.settings.Readiness.String() + "/")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+
+	return response.StatusCode
+}
+
+// get sends a request on a connection of its own client.
+func (i *instance) get(path, id string) (*http.Response, string, error) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet,
+		"http://"+i.settings.Callers.String()+path, nil)
+	Expect(err).NotTo(HaveOccurred())
+	request.Host = "shop.example"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "4000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+
+	return response, string(body), err
+}
+
+func gatherTable(shards ...string) *route.Table {
+	table, err := route.NewTable(1, []*route.Route{{
+		Name: "page", Host: "shop.example", Prefix: "/page/", Idempotent: true, Timeout: 4 * time.Second,
+		Objective: 300 * time.Millisecond, MaxAttempts: 2,
+		Gather: &route.Gather{Shards: shards, Top: 2, MinimumCoverage: 0.5},
+	}}, nil, route.Limits{BodyBytes: 1 << 16})
+	Expect(err).NotTo(HaveOccurred())
+
+	return table
+}
+
+var _ = Describe("Node", func() {
+	It("merges the parts of all shards, so that no shard is missing without need", func() {
+		i := start(gatherTable("s1", "s2", "s3"), newBackend("s1", "a"), newBackend("s2", "c"), newBackend("s3", "b"))
+		response, body, err := i.get("/page/1", "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Expect(body).To(Equal(fmt.Sprintf("%-16s%-16s", "c", "b")))
+		Expect(response.Header.Get("X-Part-Stamps")).To(Equal("a.r1, c.r1, b.r1"))
+		Expect(response.Header.Get("X-Missing-Parts")).To(Equal("0"))
+	})
+
+	It("finishes a request that is in flight when the shutdown begins, so that a planned stop cuts nothing", func() {
+		b := newBackend("s1", "a")
+		b.hold = make(chan struct{})
+		i := start(gatherTable("s1"), b)
+		answered := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			response, _, err := i.get("/page/1", "r1")
+			Expect(err).NotTo(HaveOccurred())
+			answered <- response.StatusCode
+		}()
+		Eventually(b.ran.Load, "2s").Should(BeEquivalentTo(1))
+		i.stop()
+		// The listener is closed once the shutdown has begun.
+		Eventually(func() error {
+			c, err := new(net.Dialer).DialContext(context.Background(), "tcp", i.settings.Callers.String())
+			if err == nil {
+				_ = c.Close()
+			}
+
+			return err
+		}, "4s", "5ms").Should(HaveOccurred())
+		close(b.hold)
+		Eventually(answered, "2s").Should(Receive(Equal(http.StatusOK)))
+		Eventually(i.ended, "2s").Should(Receive(BeNil()))
+	})
+})
