--- a/cmd/hickorynotch/gateway.go
+++ b/cmd/hickorynotch/gateway.go
@@ -86,6 +86,7 @@
 		Callers:        platform.CallerCodec(),
 		Configurations: store.Configurations(),
 		Directory:      store.Targets(),
+		Own:            store.Own(),
 	}, timers, node.WithLog(events))
 	if err != nil {
 		return err
--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -2,9 +2,14 @@
 
 // Events of the query tier on the users' platform.
 var (
-	SettingsReloaded = declare(1010, "SettingsReloaded", Info, "The settings file changed and was read again; Changed lists what differs.")
-	SettingsRejected = declare(1011, "SettingsRejected", Error, "The settings file cannot be used; the process waits or keeps the last good settings.")
-	LinesDropped     = declare(1012, "LinesDropped", Warning, "Log lines were dropped because the output did not take them.")
+	SettingsReloaded   = declare(1010, "SettingsReloaded", Info, "The settings file changed and was read again; Changed lists what differs.")
+	SettingsRejected   = declare(1011, "SettingsRejected", Error, "The settings file cannot be used; the process waits or keeps the last good settings.")
+	InstanceRejected   = declare(1013, "InstanceRejected", Warning, "The registration of another instance cannot be used.")
+	RegistrationFailed = declare(1014, "RegistrationFailed", Warning, "The instance could not register or renew its registration; it tries again.")
+	LeadershipBegan    = declare(1015, "LeadershipBegan", Info, "This instance reads the targets' entries for the fleet.")
+	LeadershipEnded    = declare(1016, "LeadershipEnded", Warning, "This instance no longer reads the targets' entries for the fleet.")
+
+	LinesDropped = declare(1012, "LinesDropped", Warning, "Log lines were dropped because the output did not take them.")
 
 	TargetFound     = declare(4010, "TargetFound", Info, "A target was registered.")
 	TargetGone      = declare(4011, "TargetGone", Info, "The entry of a target is gone; the target gets no new requests.")
@@ -13,6 +18,7 @@
 	TargetRejected  = declare(4014, "TargetRejected", Warning, "Entries name no target that can be used; the first fault is shown.")
 	ResponseForeign = declare(4015, "ResponseForeign", Warning, "A response to another request arrived on a connection and was dropped.")
 
+	GathererFailed  = declare(5014, "GathererFailed", Warning, "A peer did not gather a query; another instance does.")
 	RequestAnswered = declare(5010, "RequestAnswered", Info, "A request was answered; the line shows what decided its end.")
 	RequestRefused  = declare(5011, "RequestRefused", Warning, "A request was refused and has not run.")
 	RequestFailed   = declare(5012, "RequestFailed", Warning, "A request ended without an answer and may have run.")
--- a/internal/tier/caller/respond.go
+++ b/internal/tier/caller/respond.go
@@ -30,7 +30,8 @@
 		"Denied", answer.Denied,
 	}
 	if q.Route.Gather != nil {
-		keyvals = append(keyvals, "Shards", len(q.Route.Gather.Shards), "Missing", answer.Missing)
+		keyvals = append(keyvals, "Shards", len(q.Route.Gather.Shards), "Missing", answer.Missing,
+			"Gatherer", answer.Gatherer)
 	}
 	if answer.Result != nil {
 		keyvals = append(keyvals, "Target", answer.Result.Link.ID(), "TargetTook", answer.Result.Took)
--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -60,7 +60,7 @@
 	source  ConfigurationSource
 	timers  *timer.Service
 	log     *event.Log
-	wait    time.Duration
+	wait    func() time.Duration
 	adopted []func(*route.Table)
 	current atomic.Pointer[route.Table]
 	health  health
@@ -80,9 +80,9 @@
 	return func(c *Configuration) { c.adopted = append(c.adopted, adopted) }
 }
 
-// NewConfiguration returns a keeper whose calls wait for a change for the given time.
+// NewConfiguration returns a keeper whose calls wait for a change as long as wait returns.
 func NewConfiguration(
-	source ConfigurationSource, timers *timer.Service, wait time.Duration, options ...ConfigurationOption,
+	source ConfigurationSource, timers *timer.Service, wait func() time.Duration, options ...ConfigurationOption,
 ) *Configuration {
 	c := &Configuration{source: source, timers: timers, wait: wait, again: make(chan struct{}, 1)}
 	for _, option := range options {
@@ -149,27 +149,16 @@
 
 var errRefresh = errors.New("the wait was ended to read again")
 
-func (c *Configuration) await(ctx context.Context, revision uint64) (Stored, error) {
-	ctx, cancel := c.timers.WithTimeout(ctx, c.wait+callTimeout)
-	defer cancel()
-	refreshed := make(chan struct{})
-	finished := make(chan struct{})
-	go func() {
-		select {
-		case <-c.again:
-			close(refreshed)
-			cancel()
-		case <-finished:
-		}
-	}()
-	stored, err := c.source.Wait(ctx, revision, c.wait)
-	close(finished)
-	select {
-	case <-refreshed:
-		return Stored{}, errRefresh
-	default:
-		return stored, err
-	}
+func (c *Configuration) await(ctx context.Context, revision uint64) (stored Stored, err error) {
+	wait := c.wait()
+	_, _, err = awaitChange(ctx, c.timers, c.again, wait, func(ctx context.Context) ([]Entry, uint64, error) {
+		var err error
+		stored, err = c.source.Wait(ctx, revision, wait)
+
+		return nil, 0, err
+	})
+
+	return stored, err
 }
 
 // adopt brings a newer configuration into force.
--- /dev/null
+++ b/internal/tier/control/fleet.go
@@ -0,0 +1,449 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
+)
+
+// The instances' own keys. Below instancePrefix each instance registers under a lease; leaderKey names the instance that reads
+// the targets' entries for all; below mirrorPrefix it writes what the others have to know of the targets.
+const (
+	ownPrefix      = "hickorynotch/"
+	instancePrefix = ownPrefix + "instances/"
+	leaderKey      = ownPrefix + "leader"
+	mirrorPrefix   = ownPrefix + "targets/"
+)
+
+const (
+	// instanceTTL is the time after which a silent instance is forgotten. Peers notice earlier by themselves, so renewals can
+	// be few: 80 instances renew 24 times a second in all, at a tenth of a call each.
+	instanceTTL   = 10 * time.Second
+	instanceRenew = instanceTTL / 3
+	// settle is the time for which changes are collected before the next wait, because each wait is a call.
+	settle = 120 * time.Millisecond
+	// minimumWait and maximumWait bound the time that a call waits for changes, and callsPerSecond the rate of such calls that
+	// the fleet makes without changes.
+	minimumWait    = 3 * time.Second
+	maximumWait    = 20 * time.Second
+	callsPerSecond = 6
+)
+
+// Instance is what an instance tells the others of itself.
+type Instance struct {
+	Name             string
+	Peer             netip.AddrPort
+	AvailabilityZone string
+	// Processor is the share of a core, LinkBits the bits a second that the machine has.
+	Processor float64
+	LinkBits  float64
+}
+
+// Check returns an error if the instance cannot be reached by what it says.
+func (i *Instance) Check() error {
+	switch {
+	case i.Name == "":
+		return errors.New("Name: empty")
+	case !i.Peer.IsValid():
+		return errors.New("Peer: not an address")
+	case i.AvailabilityZone == "":
+		return errors.New("AvailabilityZone: empty")
+	case i.Processor <= 0:
+		return errors.New("Processor: not positive")
+	}
+
+	return nil
+}
+
+// leader is the value of leaderKey.
+type leader struct {
+	Name string
+	// Synced is set once the mirror has been compared with the entries.
+	Synced bool
+}
+
+// mirrored is the value of a key below mirrorPrefix.
+type mirrored struct {
+	Service          string
+	Address          netip.AddrPort
+	AvailabilityZone string
+	Slots            int
+	Draining         bool
+	Warmup           time.Duration
+	Started          time.Time
+}
+
+func mirror(t *directory.Target) mirrored {
+	return mirrored{
+		Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone, Slots: t.Slots, Draining: t.Draining,
+		Warmup: t.Warmup, Started: t.Started,
+	}
+}
+
+func (m *mirrored) target(id string) *directory.Target {
+	return &directory.Target{
+		ID: id, Service: m.Service, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Slots: m.Slots, Draining: m.Draining,
+		Warmup: m.Warmup, Started: m.Started,
+	}
+}
+
+// Fleet keeps what the instances tell each other through the store: who they are, who reads the targets' entries, and what it
+// found.
+type Fleet struct {
+	store   OwnStore
+	self    Instance
+	timers  *timer.Service
+	log     *event.Log
+	health  health
+	changed chan struct{}
+	again   chan struct{}
+	onView  func(View)
+
+	mu             sync.Mutex
+	known          bool // the view has been read and is being kept
+	revision       uint64
+	instances      map[string]Instance
+	leader         leader
+	leaderRevision uint64
+	targets        map[string]*directory.Target
+	mirrorRevision uint64
+}
+
+// View is what is known of the fleet.
+type View struct {
+	Instances []Instance
+	// Leader is the name of the instance that reads the targets' entries, empty if there is none.
+	Leader         string
+	LeaderRevision uint64
+	// Targets is the mirror of the targets' entries, nil if no leader vouches for it.
+	Targets *directory.Directory
+	// Revision is that of the newest change of the mirror.
+	Revision uint64
+	// Known is false if the view cannot be kept up to date.
+	Known bool
+}
+
+// FleetOption configures a Fleet.
+type FleetOption func(*Fleet)
+
+// WithFleetLog sets the log.
+func WithFleetLog(log *event.Log) FleetOption {
+	return func(f *Fleet) { f.log = log }
+}
+
+// OnView sets the function that is called with each new view.
+func OnView(onView func(View)) FleetOption {
+	return func(f *Fleet) { f.onView = onView }
+}
+
+// NewFleet returns a keeper for the instance self.
+func NewFleet(store OwnStore, self Instance, timers *timer.Service, options ...FleetOption) *Fleet {
+	f := &Fleet{
+		store: store, self: self, timers: timers, onView: func(View) {},
+		changed: make(chan struct{}, 1), again: make(chan struct{}, 1),
+	}
+	for _, option := range options {
+		option(f)
+	}
+	f.health = health{timers: timers, log: func() *event.Log { return f.log }, part: "Fleet"}
+	f.reset()
+
+	return f
+}
+
+func (f *Fleet) reset() {
+	f.instances = make(map[string]Instance)
+	f.targets = make(map[string]*directory.Target)
+	f.leader, f.leaderRevision, f.mirrorRevision = leader{}, 0, 0
+}
+
+// View returns what is known of the fleet.
+func (f *Fleet) View() View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := View{
+		Instances: slices.SortedFunc(maps.Values(f.instances), func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) }),
+		Leader:    f.leader.Name, LeaderRevision: f.leaderRevision, Revision: f.mirrorRevision, Known: f.known,
+	}
+	if f.leader.Name != "" && f.leader.Synced {
+		v.Targets = directory.New(slices.Collect(maps.Values(f.targets)))
+	}
+
+	return v
+}
+
+// Wait returns how long a call of this fleet waits for changes.
+func (f *Fleet) Wait() time.Duration {
+	f.mu.Lock()
+	n := len(f.instances)
+	f.mu.Unlock()
+
+	return min(max(minimumWait, time.Duration(n)*time.Second/callsPerSecond), maximumWait)
+}
+
+// Revision returns that of the newest change of the mirror.
+func (f *Fleet) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.mirrorRevision
+}
+
+// Behind makes the keeper read everything again if revision is newer than what it knows, because a peer has it.
+func (f *Fleet) Behind(revision uint64) {
+	f.mu.Lock()
+	behind := f.known && revision > f.mirrorRevision
+	f.mu.Unlock()
+	if behind {
+		select {
+		case f.again <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run keeps the view until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	backoff := newBackoff(f.timers)
+	known := false
+	for ctx.Err() == nil {
+		var err error
+		if known {
+			err = f.follow(ctx)
+		} else {
+			err = f.read(ctx)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case errors.Is(err, errRefresh), errors.Is(err, ErrForgotten):
+			known = false
+		case err != nil:
+			known = false
+			f.setUnknown()
+			f.health.failed(err)
+			backoff.sleep(ctx)
+		default:
+			known = true
+			f.health.succeeded()
+			backoff.reset()
+		}
+	}
+
+	return ctx.Err()
+}
+
+func (f *Fleet) setUnknown() {
+	f.mu.Lock()
+	f.known = false
+	f.mu.Unlock()
+	f.notify()
+}
+
+func (f *Fleet) notify() {
+	f.onView(f.View())
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Fleet) read(ctx context.Context) error {
+	ctx, cancel := f.timers.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, revision, err := f.store.List(ctx, ownPrefix)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.reset()
+	for i := range entries {
+		f.apply(&entries[i])
+	}
+	f.revision, f.known = revision, true
+	f.mu.Unlock()
+	f.notify()
+
+	return nil
+}
+
+func (f *Fleet) follow(ctx context.Context) error {
+	f.mu.Lock()
+	revision := f.revision
+	f.mu.Unlock()
+	wait := f.Wait()
+	changes, next, err := awaitChange(ctx, f.timers, f.again, wait, func(ctx context.Context) ([]Entry, uint64, error) {
+		return f.store.Wait(ctx, ownPrefix, revision, wait)
+	})
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	for i := range changes {
+		f.apply(&changes[i])
+	}
+	f.revision = max(next, f.revision)
+	f.mu.Unlock()
+	if len(changes) == 0 {
+		return nil
+	}
+	f.notify()
+	select {
+	case <-f.timers.After(settle):
+	case <-ctx.Done():
+	}
+
+	return nil
+}
+
+// awaitChange makes a call that waits for a change. It ends with errRefresh when again delivers.
+func awaitChange(
+	ctx context.Context, timers *timer.Service, again <-chan struct{}, wait time.Duration,
+	call func(ctx context.Context) ([]Entry, uint64, error),
+) (changes []Entry, revision uint64, err error) {
+	ctx, cancel := timers.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	refreshed := make(chan struct{})
+	finished := make(chan struct{})
+	go func() {
+		select {
+		case <-again:
+			close(refreshed)
+			cancel()
+		case <-finished:
+		}
+	}()
+	changes, revision, err = call(ctx)
+	close(finished)
+	select {
+	case <-refreshed:
+		return nil, 0, errRefresh
+	default:
+		return changes, revision, err
+	}
+}
+
+// apply takes one entry or change into the view. The lock is held.
+func (f *Fleet) apply(e *Entry) {
+	switch {
+	case e.Key == leaderKey:
+		f.leader, f.leaderRevision = leader{}, 0
+		if !e.Gone && json.Unmarshal(e.Value, &f.leader) == nil {
+			f.leaderRevision = e.Revision
+		}
+	case strings.HasPrefix(e.Key, instancePrefix):
+		name := strings.TrimPrefix(e.Key, instancePrefix)
+		var i Instance
+		delete(f.instances, name)
+		if e.Gone {
+			return
+		}
+		err := json.Unmarshal(e.Value, &i)
+		if err == nil {
+			err = i.Check()
+		}
+		if err != nil {
+			f.log.Log(event.InstanceRejected, "Key", e.Key, "Error", err)
+
+			return
+		}
+		f.instances[name] = i
+	case strings.HasPrefix(e.Key, mirrorPrefix):
+		id := strings.TrimPrefix(e.Key, mirrorPrefix)
+		f.mirrorRevision = max(f.mirrorRevision, e.Revision)
+		delete(f.targets, id)
+		var m mirrored
+		if !e.Gone && json.Unmarshal(e.Value, &m) == nil {
+			f.targets[id] = m.target(id)
+		}
+	}
+}
+
+// Register keeps the instance registered until ctx ends, and then removes it.
+func (f *Fleet) Register(ctx context.Context) error {
+	value, err := json.Marshal(f.self)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	backoff := newBackoff(f.timers)
+	var lease Lease
+	for ctx.Err() == nil {
+		err := f.keepRegistered(ctx, &lease, value)
+		if err != nil {
+			f.log.Log(event.RegistrationFailed, "Error", err)
+			backoff.sleep(ctx)
+
+			continue
+		}
+		backoff.reset()
+		select {
+		case <-f.timers.After(instanceRenew):
+		case <-ctx.Done():
+		}
+	}
+	if lease != 0 {
+		ending, cancel := f.timers.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+		defer cancel()
+		if err := f.store.End(ending, lease); err != nil {
+			f.log.Log(event.RegistrationFailed, "Error", err)
+		}
+	}
+
+	return ctx.Err()
+}
+
+// keepRegistered renews the lease, or registers under a new one.
+func (f *Fleet) keepRegistered(ctx context.Context, lease *Lease, value []byte) (err error) {
+	ctx, cancel := f.timers.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if *lease != 0 {
+		err := f.store.Renew(ctx, *lease)
+		if !errors.Is(err, ErrLeaseEnded) {
+			return err
+		}
+		*lease = 0
+	}
+	granted, err := f.store.Grant(ctx, instanceTTL)
+	if err != nil {
+		return err
+	}
+	if _, err = f.store.Commit(ctx, Transaction{
+		Puts: []Put{{Key: instancePrefix + f.self.Name, Value: value, Lease: granted}},
+	}); err != nil {
+		return err
+	}
+	*lease = granted
+
+	return nil
+}
+
+// rank orders the instances by how soon they try to lead: strong ones first, equal ones by a hash of the name.
+func rank(instances []Instance, self Instance) int {
+	n := 0
+	for _, i := range instances {
+		if i.Processor > self.Processor || i.Processor == self.Processor && hash(i.Name) < hash(self.Name) {
+			n++
+		}
+	}
+
+	return n
+}
+
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+
+	return h.Sum64()
+}
--- a/internal/tier/control/targets.go
+++ b/internal/tier/control/targets.go
@@ -25,12 +25,11 @@
 	List func(ctx context.Context) (Listed, error)
 }
 
-// Targets keeps the directory of targets.
+// Targets keeps the directory of targets. It is used by one goroutine.
 type Targets struct {
 	source  TargetSource
 	timers  *timer.Service
 	log     *event.Log
-	period  time.Duration
 	adopted func(*directory.Directory)
 	health  health
 	current *directory.Directory
@@ -47,11 +46,11 @@
 	return func(t *Targets) { t.log = log }
 }
 
-// NewTargets returns a keeper that reads the entries once in each period and hands each new directory to adopted.
+// NewTargets returns a keeper that hands each new directory to adopted.
 func NewTargets(
-	source TargetSource, timers *timer.Service, period time.Duration, adopted func(*directory.Directory), options ...TargetsOption,
+	source TargetSource, timers *timer.Service, adopted func(*directory.Directory), options ...TargetsOption,
 ) *Targets {
-	t := &Targets{source: source, timers: timers, period: period, adopted: adopted, current: directory.New(nil)}
+	t := &Targets{source: source, timers: timers, adopted: adopted, current: directory.New(nil)}
 	for _, option := range options {
 		option(t)
 	}
@@ -60,28 +59,23 @@
 	return t
 }
 
-// Run keeps the directory until ctx ends.
-func (t *Targets) Run(ctx context.Context) error {
-	ticks := t.timers.Subscribe(t.period)
-	defer ticks.Stop()
-	backoff := newBackoff(t.timers)
-	for {
-		if err := t.read(ctx); err != nil {
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			t.health.failed(err)
-			backoff.sleep(ctx)
-
-			continue
-		}
-		backoff.reset()
-		select {
-		case <-ticks.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+// Current returns the directory in force.
+func (t *Targets) Current() *directory.Directory { return t.current }
+
+// Adopt brings a directory into force that another instance has read.
+func (t *Targets) Adopt(d *directory.Directory) {
+	t.current = d
+	t.adopted(d)
+}
+
+// Read lists the entries once and brings them into force.
+func (t *Targets) Read(ctx context.Context) error {
+	err := t.read(ctx)
+	if err != nil && ctx.Err() == nil {
+		t.health.failed(err)
 	}
+
+	return err
 }
 
 func (t *Targets) read(ctx context.Context) error {
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -56,6 +57,11 @@
 	// Received is when the request was read, and Elapsed the time that its caller had waited by then, as far as it is known.
 	Received time.Time
 	Elapsed  time.Duration
+	// Extra is set if targets may have got the query already, so that its first attempts draw on the budget as well.
+	Extra bool
+	// Shards is the subset of the route's shards to gather, nil for all. The answer of a subset has a stamp for each shard, empty
+	// for a missing part, and is given however few there are.
+	Shards []string
 }
 
 // Answer is the end of a query.
@@ -77,8 +83,21 @@
 	Retries  int
 	// Denied counts the hedges and retries that the budget did not allow.
 	Denied int
+	// Gatherer is the peer that gathered the answer, empty if this instance did.
+	Gatherer string
 }
 
+// Group is a set of a query's shards that a peer gathers.
+type Group struct {
+	// Jobs are positions in the list of shards.
+	Jobs []int
+	// Run returns the answer of the subset. After an error that wraps ErrMayHaveRun targets may have got the requests.
+	Run func(ctx context.Context) (Answer, error)
+}
+
+// ErrMayHaveRun means that a peer that failed may have sent a query to targets.
+var ErrMayHaveRun = errors.New("the query may have reached targets")
+
 // Settings of a Dispatcher.
 type Settings struct {
 	Place choice.Place
@@ -97,6 +116,7 @@
 	log      *event.Log
 	metrics  *metric.Set
 	settings Settings
+	groups   func(q *Query) []Group
 
 	mu       sync.Mutex
 	trackers map[string]*hedging.Tracker
@@ -116,6 +136,11 @@
 	return func(d *Dispatcher) { d.metrics = metrics }
 }
 
+// WithGroups sets the function that names the shards of a query that peers gather.
+func WithGroups(groups func(q *Query) []Group) Option {
+	return func(d *Dispatcher) { d.groups = groups }
+}
+
 // New returns a Dispatcher.
 func New(fleet *target.Fleet, ledger *budget.Ledger, timers *timer.Service, settings Settings, options ...Option) *Dispatcher {
 	d := &Dispatcher{
@@ -125,6 +150,7 @@
 		settings: settings,
 		trackers: make(map[string]*hedging.Tracker),
 		shares:   make(map[string]*rotation),
+		groups:   func(*Query) []Group { return nil },
 	}
 	for _, option := range options {
 		option(d)
@@ -197,5 +223,12 @@
 
 // Gather sends the query to one replica of each shard and merges the parts.
 func (d *Dispatcher) Gather(ctx context.Context, q *Query) Answer {
+	if q.Shards != nil {
+		f := newFlight(d, q, q.Shards)
+		f.subset = true
+
+		return f.run(ctx)
+	}
+
 	return newFlight(d, q, q.Route.Gather.Shards).run(ctx)
 }
--- a/internal/tier/dispatch/flight.go
+++ b/internal/tier/dispatch/flight.go
@@ -29,6 +29,7 @@
 	done     bool
 	failed   bool
 	part     *target.Result
+	stamp    string // of the part
 	last     *target.Result
 	ran      bool // some target may have run the request
 }
@@ -51,6 +52,7 @@
 	query   *Query
 	call    *target.Call
 	single  bool
+	subset  bool
 	jobs    []job
 	parts   int
 	failed  int
@@ -59,8 +61,11 @@
 	// over is closed when the flight has ended and takes no more results.
 	over   chan struct{}
 	answer Answer
-	links  []*target.Link
-	facts  []choice.Facts
+	// grouped delivers the answers of peers, and merged holds their records.
+	grouped chan groupEnded
+	merged  [][]byte
+	links   []*target.Link
+	facts   []choice.Facts
 }
 
 func newFlight(d *Dispatcher, q *Query, services []string) *flight {
@@ -79,6 +84,7 @@
 		jobs:    make([]job, len(services)),
 		results: make(chan ended, len(services)),
 		over:    make(chan struct{}),
+		grouped: make(chan groupEnded),
 	}
 	for i, s := range services {
 		f.jobs[i].service = s
@@ -90,10 +96,23 @@
 // run answers the query.
 func (f *flight) run(ctx context.Context) Answer {
 	now := f.d.timers.Now()
-	for i := range f.jobs {
-		f.d.ledger.Earn(now, f.jobs[i].service)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	if !f.single && !f.subset && !f.query.Extra {
+		f.group(ctx)
 	}
 	for i := range f.jobs {
+		if f.jobs[i].waiting > 0 {
+			continue
+		}
+		f.d.ledger.Earn(now, f.jobs[i].service)
+		if f.query.Extra && !f.d.ledger.Spend(now, f.jobs[i].service) {
+			f.answer.Denied++
+			f.jobs[i].ran = true
+			f.fail(&f.jobs[i])
+
+			continue
+		}
 		f.start(i, now)
 	}
 	defer f.cancel()
@@ -108,6 +127,8 @@
 		select {
 		case e := <-f.results:
 			f.take(e)
+		case e := <-f.grouped:
+			f.takeGroup(e)
 		case <-f.d.timers.After(wait):
 			f.hedge(f.d.timers.Now())
 		case <-timeout:
@@ -121,7 +142,7 @@
 // start sends the job to the best replica that it was not sent to yet. It reports whether there was one.
 func (f *flight) start(i int, now time.Time) bool {
 	j := &f.jobs[i]
-	if j.replicas >= f.query.Route.MaxAttempts {
+	if j.replicas >= f.maxAttempts() {
 		return false
 	}
 	f.links = f.d.fleet.Links(f.links[:0], j.service)
@@ -149,7 +170,7 @@
 	j.waiting++
 	f.answer.Attempts++
 	j.hedgeAt = now.Add(never)
-	if j.replicas < f.query.Route.MaxAttempts && f.query.Route.Idempotent && f.d.settings.Hedges {
+	if j.replicas < f.maxAttempts() && f.query.Route.Idempotent && f.d.settings.Hedges {
 		j.hedgeAt = now.Add(hedging.Delay(hedging.Facts{
 			Objective: f.query.Route.Objective,
 			Usual:     f.d.usual(f.query.Route.Name),
@@ -165,6 +186,15 @@
 	}()
 }
 
+// maxAttempts returns the number of targets that each job may be sent to. An earlier gatherer may have used the others.
+func (f *flight) maxAttempts() int {
+	if f.query.Extra {
+		return 1
+	}
+
+	return f.query.Route.MaxAttempts
+}
+
 func (j *job) used(l *target.Link) bool {
 	for _, a := range j.attempts {
 		if a.link == l {
@@ -201,7 +231,7 @@
 // extra sends another copy of the job if there is a replica and the budget allows it.
 func (f *flight) extra(i int, now time.Time) bool {
 	j := &f.jobs[i]
-	if j.replicas >= f.query.Route.MaxAttempts || !now.Before(f.query.Deadline) {
+	if j.replicas >= f.maxAttempts() || !now.Before(f.query.Deadline) {
 		return false
 	}
 	f.links = f.d.fleet.Links(f.links[:0], j.service)
@@ -237,7 +267,7 @@
 		j.ran = true
 	}
 	if f.usable(&e.result) {
-		j.done, j.part = true, &e.result
+		j.done, j.part, j.stamp = true, &e.result, e.result.Reply.Stamp
 		f.parts++
 		for _, a := range j.attempts {
 			if !a.ended {
@@ -292,13 +322,13 @@
 		Shards:     len(f.jobs),
 		Parts:      f.parts,
 		Failed:     f.failed,
-		Minimum:    f.query.Route.Gather.MinimumParts(),
+		Minimum:    f.minimum(),
 		Elapsed:    f.query.Elapsed + now.Sub(f.query.Received),
 		Objective:  f.query.Route.Objective,
 		ReturnPath: f.d.settings.ReturnPath,
 	})
 	switch {
-	case verdict.Return:
+	case verdict.Return, verdict.Fail && f.subset:
 		f.merge()
 		f.end(Answered, verdict.Reason)
 
@@ -316,6 +346,16 @@
 	return wait, false
 }
 
+// minimum returns the smallest number of parts that is worth an answer. The peer that asked for a subset decides by all shards, so
+// a subset is answered with any number, unless the objective had passed when it was asked for.
+func (f *flight) minimum() int {
+	if f.subset && f.query.Elapsed < f.query.Route.Objective-f.d.settings.ReturnPath {
+		return 0
+	}
+
+	return f.query.Route.Gather.MinimumParts(len(f.jobs))
+}
+
 func (f *flight) decideSingle(now time.Time) (wait time.Duration, done bool) {
 	j := &f.jobs[0]
 	switch {
@@ -383,10 +423,16 @@
 func (f *flight) merge() {
 	m := newMerger(f.query.Route.Gather.Top)
 	for i := range f.jobs {
-		if part := f.jobs[i].part; part != nil {
-			f.answer.Stamps = append(f.answer.Stamps, part.Reply.Stamp)
-			m.add(part.Body)
+		j := &f.jobs[i]
+		if j.done || f.subset {
+			f.answer.Stamps = append(f.answer.Stamps, j.stamp)
 		}
+		if j.part != nil {
+			m.add(j.part.Body)
+		}
+	}
+	for _, records := range f.merged {
+		m.add(records)
 	}
 	f.answer.Missing = len(f.jobs) - f.parts
 	f.answer.Records = m.records()
--- /dev/null
+++ b/internal/tier/dispatch/group.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// groupEnded is the answer of a peer that gathered a group.
+type groupEnded struct {
+	group  Group
+	answer Answer
+	err    error
+}
+
+// group starts the peers that gather some of the shards.
+func (f *flight) group(ctx context.Context) {
+	later := f.d.timers.Now().Add(never)
+	for _, g := range f.d.groups(f.query) {
+		for _, i := range g.Jobs {
+			// The peer hedges the jobs by itself.
+			f.jobs[i].waiting, f.jobs[i].hedgeAt = 1, later
+		}
+		go func() {
+			answer, err := g.Run(ctx)
+			select {
+			case f.grouped <- groupEnded{group: g, answer: answer, err: err}:
+			case <-f.over:
+			}
+		}()
+	}
+}
+
+// takeGroup handles the answer of a peer. The shards of a peer that failed are gathered by this instance.
+func (f *flight) takeGroup(e groupEnded) {
+	f.answer.Attempts += e.answer.Attempts
+	f.answer.Hedges += e.answer.Hedges
+	f.answer.Retries += e.answer.Retries
+	f.answer.Denied += e.answer.Denied
+	now := f.d.timers.Now()
+	failed := e.err != nil || len(e.answer.Stamps) != len(e.group.Jobs) || !f.addStamps(e.answer.Stamps)
+	if !failed {
+		f.merged = append(f.merged, e.answer.Records)
+	}
+	for k, i := range e.group.Jobs {
+		j := &f.jobs[i]
+		j.waiting--
+		switch {
+		case failed && errors.Is(e.err, ErrMayHaveRun):
+			j.ran = true
+			f.repeat(i, now)
+		case failed:
+			f.d.ledger.Earn(now, j.service)
+			f.start(i, now)
+		case e.answer.Stamps[k] != "":
+			j.done, j.stamp = true, e.answer.Stamps[k]
+			f.parts++
+		default:
+			j.ran = true
+		}
+	}
+	if failed {
+		return
+	}
+	for _, i := range e.group.Jobs {
+		// Parts that the peer did not get in time are asked for again only if the answer needs them.
+		if j := &f.jobs[i]; !j.done && j.waiting == 0 && (f.parts >= f.minimum() || !f.extra(i, now)) {
+			f.fail(j)
+		}
+	}
+}
+
+// repeat sends a job that a lost peer may have sent already.
+func (f *flight) repeat(i int, now time.Time) {
+	j := &f.jobs[i]
+	// The first request for the shard was the peer's, so this instance's is an extra one that the budget has to allow.
+	f.d.ledger.Earn(now, j.service)
+	if !f.d.ledger.Spend(now, j.service) {
+		f.answer.Denied++
+		f.fail(j)
+
+		return
+	}
+	f.answer.Retries++
+	j.replicas = f.query.Route.MaxAttempts - 1
+	f.start(i, now)
+}
+
+// addStamps notes the stamps of a peer's parts. It reports false if one of them is known already.
+func (f *flight) addStamps(stamps []string) bool {
+	for _, s := range stamps {
+		if s != "" && f.stamps.Has(s) {
+			return false
+		}
+	}
+	for _, s := range stamps {
+		if s != "" {
+			f.stamps.Add(s)
+		}
+	}
+
+	return true
+}
--- /dev/null
+++ b/internal/tier/handover/group.go
@@ -0,0 +1,104 @@
+package handover
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/placement"
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+)
+
+// Groups returns the shards of a query that peers in other availability zones gather, because the replicas are there.
+func (h *Handover) Groups(q *dispatch.Query) []dispatch.Group {
+	now := h.timers.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	zones := make([][]string, len(q.Route.Gather.Shards))
+	for i, service := range q.Route.Gather.Shards {
+		for _, t := range h.directory.Service(service) {
+			if !t.Draining {
+				zones[i] = append(zones[i], t.AvailabilityZone)
+			}
+		}
+	}
+	peers := make(map[string]*control.Instance)
+	h.turn++
+	groups := placement.Groups(zones, h.place, h.turn, func(zone string) bool {
+		if _, ok := peers[zone]; !ok {
+			peers[zone] = h.best(zone, now)
+		}
+
+		return peers[zone] != nil
+	})
+	out := make([]dispatch.Group, 0, len(groups))
+	for _, g := range groups {
+		instance := peers[g.AvailabilityZone]
+		shards := make([]string, 0, len(g.Shards))
+		for _, i := range g.Shards {
+			shards = append(shards, q.Route.Gather.Shards[i])
+		}
+		out = append(out, dispatch.Group{Jobs: g.Shards, Run: func(ctx context.Context) (dispatch.Answer, error) {
+			return h.runGroup(ctx, q, instance, shards)
+		}})
+	}
+
+	return out
+}
+
+// runGroup hands a group to a peer.
+func (h *Handover) runGroup(
+	ctx context.Context, q *dispatch.Query, instance *control.Instance, shards []string,
+) (dispatch.Answer, error) {
+	reply, err := h.hand(ctx, q, instance, shards)
+	if err == nil {
+		return reply.Answer, nil
+	}
+	if ctx.Err() == nil {
+		h.log.Log(event.GathererFailed, "Request", q.RequestID, "Gatherer", instance.Name, "Shards", len(shards), "Error", err)
+	}
+	if mayHaveRun(err) {
+		err = errors.Join(dispatch.ErrMayHaveRun, err)
+	}
+
+	return dispatch.Answer{}, err
+}
+
+// best returns the instance of an availability zone that has the most processor time for another query, nil if there is none. The
+// lock is held.
+func (h *Handover) best(zone string, now time.Time) *control.Instance {
+	var best *control.Instance
+	var lowest float64
+	for k := range h.view.Instances {
+		i := &h.view.Instances[k]
+		if i.AvailabilityZone != zone || i.Name == h.self.Name {
+			continue
+		}
+		active := 0
+		if p := h.peers[i.Name]; p != nil {
+			if now.Before(p.until) {
+				continue
+			}
+			active = p.load(now)
+		}
+		// The jitter, below the weight of one query, spreads idle instances.
+		cost := (1 + float64(active) + float64(jitter(h.self.Name, i.Name))/float64(jitterRange)) / i.Processor
+		if best == nil || cost < lowest {
+			instance := *i
+			best, lowest = &instance, cost
+		}
+	}
+
+	return best
+}
+
+// load returns the number of queries that a peer gathers, by its last report and by what was sent to it.
+func (p *state) load(now time.Time) int {
+	if now.Sub(p.activeAt) < activeAge {
+		return max(p.outstanding, p.active)
+	}
+
+	return p.outstanding
+}
--- /dev/null
+++ b/internal/tier/handover/handover.go
@@ -0,0 +1,363 @@
+// Package handover answers gathered queries where that costs least: at this instance, or at a peer that is next to the replicas
+// or stronger.
+//
+// A query goes to the peer that the placement decision names. A peer that does not accept it in time, declines it or is lost is
+// left out for a while, and the query goes to the next one and at last to this instance itself:
+//
+//	answer := h.Gather(ctx, query)
+package handover
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
+	"github.com/hickorynotch/hickorynotch/internal/decision/placement"
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+	"github.com/hickorynotch/hickorynotch/internal/tier/peer"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
+	"github.com/hickorynotch/hickorynotch/internal/world/route"
+)
+
+const (
+	// maxPeers is the number of peers that a query is handed to before this instance gathers itself. Objectives leave no time
+	// for a third.
+	maxPeers = 2
+	// partBytes is the size of a part with its headers on the wire, between those of the users' two kinds of queries.
+	partBytes = 700
+	// nearBound and farBound are the times within which a peer in the region and one in another region accepts a query: two round
+	// trips of 24 ms between regions for a new connection, and a wait for small processors.
+	nearBound = 35 * time.Millisecond
+	farBound  = 85 * time.Millisecond
+	// nearHop and farHop are the way of an answer from the peer to this instance and of the query to the peer.
+	nearHop = 4 * time.Millisecond
+	farHop  = 26 * time.Millisecond
+	// deadlineHop is kept of the time that is left for the way of the answer.
+	deadlineHop = 15 * time.Millisecond
+	// firstPause and longestPause bound the time for which a peer is left out after a failure; it doubles with each.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 4 * time.Second
+	// jitterRange spreads equal peers among the instances.
+	jitterRange = 3 * time.Millisecond
+	// maxSpreads bounds the routes whose places are remembered.
+	maxSpreads = 256
+	// activeAge is the age after which a peer's report of its work is not used any more.
+	activeAge = 300 * time.Millisecond
+)
+
+// Handover places gathered queries. It is safe for concurrent use.
+type Handover struct {
+	self    control.Instance
+	place   choice.Place
+	client  *peer.Client
+	timers  *timer.Service
+	log     *event.Log
+	gather  func(ctx context.Context, q *dispatch.Query) dispatch.Answer
+	newer   func(version uint64)
+	changed func(mirror uint64)
+
+	mu        sync.Mutex
+	view      control.View
+	directory *directory.Directory
+	peers     map[string]*state
+	spreads   map[*route.Route]*spread
+	turn      uint32
+	own       int // queries that this instance gathers for its own callers
+}
+
+// state is what was seen of a peer.
+type state struct {
+	outstanding int
+	active      int
+	activeAt    time.Time
+	failures    int
+	until       time.Time // the peer is left out until then
+}
+
+// spread counts the shards of a route by the places of their replicas.
+type spread struct {
+	zones   map[string]int
+	regions map[string]int
+}
+
+// Option configures a Handover.
+type Option func(*Handover)
+
+// WithLog sets the log.
+func WithLog(log *event.Log) Option {
+	return func(h *Handover) { h.log = log }
+}
+
+// OnNewer sets the function that is called when a peer has a newer configuration in force.
+func OnNewer(newer func(version uint64)) Option {
+	return func(h *Handover) { h.newer = newer }
+}
+
+// OnChanged sets the function that is called with the revision of the targets' mirror that a peer knows.
+func OnChanged(changed func(mirror uint64)) Option {
+	return func(h *Handover) { h.changed = changed }
+}
+
+// New returns a Handover of the instance self that gathers by the given function.
+func New(
+	self control.Instance, place choice.Place, client *peer.Client, timers *timer.Service,
+	gather func(ctx context.Context, q *dispatch.Query) dispatch.Answer, options ...Option,
+) *Handover {
+	h := &Handover{
+		self: self, place: place, client: client, timers: timers, gather: gather, newer: func(uint64) {}, changed: func(uint64) {},
+		directory: directory.New(nil),
+		peers:     make(map[string]*state),
+		spreads:   make(map[*route.Route]*spread),
+	}
+	for _, option := range options {
+		option(h)
+	}
+
+	return h
+}
+
+// SetView takes the instances that are known.
+func (h *Handover) SetView(view control.View) {
+	addresses := make(map[netip.AddrPort]bool)
+	h.mu.Lock()
+	if view.Known || len(h.view.Instances) == 0 {
+		h.view = view
+		names := make(map[string]bool)
+		for _, i := range view.Instances {
+			names[i.Name] = true
+		}
+		for name := range h.peers {
+			if !names[name] {
+				delete(h.peers, name)
+			}
+		}
+	}
+	for _, i := range h.view.Instances {
+		addresses[i.Peer] = true
+	}
+	h.mu.Unlock()
+	h.client.Keep(func(address netip.AddrPort) bool { return addresses[address] })
+}
+
+// SetDirectory takes the targets that are known.
+func (h *Handover) SetDirectory(d *directory.Directory) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.directory = d
+	clear(h.spreads)
+}
+
+// Gather answers a gathered query.
+func (h *Handover) Gather(ctx context.Context, q *dispatch.Query) dispatch.Answer {
+	var tried []string
+	for range maxPeers {
+		instance, verdict := h.choose(q, tried)
+		if instance == nil {
+			break
+		}
+		tried = append(tried, instance.Name)
+		reply, err := h.hand(ctx, q, instance, nil)
+		if err == nil {
+			reply.Answer.Gatherer = instance.Name
+
+			return reply.Answer
+		}
+		if ctx.Err() != nil {
+			return dispatch.Answer{Status: dispatch.Abandoned, Reason: "CallerLeft", Gatherer: instance.Name}
+		}
+		h.log.Log(event.GathererFailed, "Request", q.RequestID, "Gatherer", instance.Name, "Error", err,
+			"Cost", verdict.Cost, "OwnCost", verdict.OwnCost)
+		q.Extra = q.Extra || mayHaveRun(err)
+	}
+	h.mu.Lock()
+	h.own++
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		h.own--
+		h.mu.Unlock()
+	}()
+
+	return h.gather(ctx, q)
+}
+
+// mayHaveRun reports whether a peer that failed may have sent the query to targets.
+func mayHaveRun(err error) bool {
+	return errors.Is(err, peer.ErrLost) || errors.Is(err, peer.ErrNotAccepted)
+}
+
+// choose returns the peer that the query goes to, nil for this instance.
+func (h *Handover) choose(q *dispatch.Query, tried []string) (*control.Instance, placement.Verdict) {
+	now := h.timers.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.spread(q.Route)
+	own := h.candidate(&h.self, s)
+	own.Active = h.own
+	candidates := make([]placement.Candidate, 0, len(h.view.Instances))
+	instances := make([]*control.Instance, 0, len(h.view.Instances))
+	for k := range h.view.Instances {
+		i := &h.view.Instances[k]
+		if i.Name == h.self.Name {
+			continue
+		}
+		c := h.candidate(i, s)
+		if p := h.peers[i.Name]; p != nil {
+			c.Active = p.load(now)
+			c.Excluded = now.Before(p.until)
+		}
+		for _, name := range tried {
+			c.Excluded = c.Excluded || name == i.Name
+		}
+		candidates, instances = append(candidates, c), append(instances, i)
+	}
+	query := placement.Query{Shards: len(q.Route.Gather.Shards), PartBytes: partBytes}
+	verdict := placement.Choose(own, candidates, query, h.place, func(i int) time.Duration {
+		return jitter(h.self.Name, instances[i].Name)
+	})
+	if verdict.Index < 0 {
+		return nil, verdict
+	}
+	chosen := *instances[verdict.Index]
+
+	return &chosen, verdict
+}
+
+func (h *Handover) candidate(i *control.Instance, s *spread) placement.Candidate {
+	return placement.Candidate{
+		AvailabilityZone: i.AvailabilityZone,
+		Processor:        i.Processor,
+		LinkBits:         i.LinkBits,
+		LocalShards:      s.zones[i.AvailabilityZone],
+		RegionShards:     s.regions[h.place.Regions[i.AvailabilityZone]],
+	}
+}
+
+// spread returns where the replicas of a route's shards are. The lock is held.
+func (h *Handover) spread(r *route.Route) *spread {
+	if s := h.spreads[r]; s != nil {
+		return s
+	}
+	if len(h.spreads) >= maxSpreads {
+		// Routes of earlier configurations are among them.
+		clear(h.spreads)
+	}
+	s := &spread{zones: make(map[string]int), regions: make(map[string]int)}
+	for _, service := range r.Gather.Shards {
+		zones, regions := make(map[string]bool), make(map[string]bool)
+		for _, t := range h.directory.Service(service) {
+			if !t.Draining {
+				zones[t.AvailabilityZone] = true
+				regions[h.place.Regions[t.AvailabilityZone]] = true
+			}
+		}
+		for z := range zones {
+			s.zones[z]++
+		}
+		for region := range regions {
+			s.regions[region]++
+		}
+	}
+	h.spreads[r] = s
+
+	return s
+}
+
+// Gatherers returns the number of instances that are likely to gather the queries of a route, this one included, and whether
+// this one is likely to.
+func (h *Handover) Gatherers(r *route.Route) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.spread(r)
+	candidates := make([]placement.Candidate, 0, len(h.view.Instances))
+	for k := range h.view.Instances {
+		candidates = append(candidates, h.candidate(&h.view.Instances[k], s))
+	}
+
+	return placement.Gatherers(candidates)
+}
+
+// hand sends the query, or some of its shards, to a peer.
+func (h *Handover) hand(
+	ctx context.Context, q *dispatch.Query, i *control.Instance, shards []string,
+) (reply peer.Reply, err error) {
+	now := h.timers.Now()
+	bound, hop := nearBound, nearHop
+	if h.place.Distance(i.AvailabilityZone) == choice.OtherRegion {
+		bound, hop = farBound, farHop
+	}
+	request := &peer.GatherRequest{
+		RequestID: q.RequestID,
+		Route:     q.Route.Name,
+		Version:   q.Version,
+		Method:    q.Method,
+		Head:      q.Head,
+		Left:      q.Deadline.Sub(now) - deadlineHop,
+		Elapsed:   q.Elapsed + now.Sub(q.Received) + hop,
+		Extra:     q.Extra,
+		Shards:    shards,
+	}
+	if request.Left <= 0 {
+		return reply, peer.ErrDeclined
+	}
+	h.begin(i.Name)
+	defer func() { h.end(i.Name, &reply, err, ctx.Err() != nil) }()
+	callCtx, cancel := h.timers.WithTimeout(ctx, q.Deadline.Sub(now))
+	defer cancel()
+
+	reply, err = h.client.Gather(callCtx, i.Peer, request, bound)
+	h.changed(reply.Accepted.Mirror)
+	if errors.Is(err, peer.ErrDeclined) && reply.Accepted.Version > q.Version {
+		h.newer(reply.Accepted.Version)
+	}
+
+	return reply, err
+}
+
+func (h *Handover) begin(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.peers[name]
+	if p == nil {
+		p = &state{}
+		h.peers[name] = p
+	}
+	p.outstanding++
+}
+
+// end notes what a call showed of a peer.
+func (h *Handover) end(name string, reply *peer.Reply, err error, abandoned bool) {
+	now := h.timers.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.peers[name]
+	if p == nil {
+		return
+	}
+	p.outstanding = max(p.outstanding-1, 0)
+	switch {
+	case err == nil:
+		p.active, p.activeAt, p.failures = reply.Active, now, 0
+	case abandoned:
+	case errors.Is(err, peer.ErrDeclined) && reply.Accepted.Declined != peer.Stopping:
+		p.until = now.Add(firstPause)
+	default:
+		p.until = now.Add(min(firstPause<<min(p.failures, 10), longestPause))
+		p.failures++
+	}
+}
+
+// jitter returns a delay that differs between pairs of instances.
+func jitter(from, to string) time.Duration {
+	f := fnv.New32a()
+	_, _ = f.Write([]byte(from + "/" + to))
+
+	return time.Duration(f.Sum32()) * jitterRange / (1 << 32)
+}
--- /dev/null
+++ b/internal/tier/node/fleet.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"context"
+	"slices"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+	"github.com/hickorynotch/hickorynotch/internal/tier/peer"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
+	"github.com/hickorynotch/hickorynotch/internal/world/route"
+)
+
+const (
+	// assumedInstances is the size of the fleet while it is not known: the users' small sites with their spare machines.
+	assumedInstances = 11
+	// spareGatherers is the number of gatherers that may be added before the connections are shared anew.
+	spareGatherers = 1
+)
+
+// shares says among how many instances the connections to targets and the extra requests are shared.
+type shares struct {
+	instances int
+	// gatherers holds the number of gatherers of each shard's service.
+	gatherers map[string]int
+}
+
+// adopt takes a directory of targets.
+func (n *Node) adopt(d *directory.Directory) {
+	n.fleet.Update(d)
+	n.handover.SetDirectory(d)
+	n.share()
+	n.listed.Store(true)
+}
+
+// adoptTable takes a configuration.
+func (n *Node) adoptTable(t *route.Table) {
+	n.dispatcher.Keep(t)
+	n.share()
+}
+
+// setView takes what is known of the other instances.
+func (n *Node) setView(v control.View) {
+	n.handover.SetView(v)
+	n.share()
+}
+
+// share works out the shares anew.
+func (n *Node) share() {
+	s := &shares{instances: max(len(n.members.View().Instances), 1), gatherers: make(map[string]int)}
+	if s.instances == 1 {
+		// Others may be serving that this instance does not know yet.
+		s.instances = assumedInstances
+	}
+	if table := n.configuration.Current(); table != nil {
+		for _, r := range table.Routes() {
+			if r.Gather == nil {
+				continue
+			}
+			gatherers := n.handover.Gatherers(r)
+			for _, service := range r.Gather.Shards {
+				s.gatherers[service] = max(s.gatherers[service], gatherers)
+			}
+		}
+	}
+	n.shares.Store(s)
+}
+
+// connections returns how many connections this instance may hold to each target of a service.
+func (n *Node) connections(service string) int {
+	table, s := n.configuration.Current(), n.shares.Load()
+	if table == nil {
+		return 1
+	}
+	described, ok := table.Service(service)
+	if !ok || described.MaxConnections <= 0 {
+		return 1
+	}
+	holders := s.instances + spareGatherers
+	if gatherers := s.gatherers[service]; gatherers > 0 {
+		holders = gatherers + spareGatherers
+	}
+
+	return max(1, int(connectionShare*float64(described.MaxConnections))/holders)
+}
+
+// budget returns the bounds for extra requests in force.
+func (n *Node) budget() budget.Limits {
+	return budget.Limits{
+		Ratio:     n.settings.RetryRatio,
+		Allowance: n.settings.RetryAllowance,
+		Window:    n.settings.RetryWindow,
+		Instances: n.shares.Load().instances,
+	}
+}
+
+// register keeps this instance registered until it stops.
+func (n *Node) register(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-n.stopBegan:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	err := n.members.Register(ctx)
+	select {
+	case <-n.stopBegan:
+		// A supervisor would start the registration again.
+		<-ctx.Done()
+	default:
+	}
+
+	return err
+}
+
+// prepare turns a peer's request into a query of the configuration in force.
+func (n *Node) prepare(r *peer.GatherRequest) (q *dispatch.Query, declined string, version uint64) {
+	table := n.configuration.Current()
+	if table == nil {
+		return nil, peer.OtherVersion, 0
+	}
+	version = table.Version()
+	if n.stopping.Load() {
+		return nil, peer.Stopping, version
+	}
+	if version != r.Version {
+		if r.Version > version {
+			n.configuration.Refresh()
+		}
+
+		return nil, peer.OtherVersion, version
+	}
+	for _, matched := range table.Routes() {
+		if matched.Name != r.Route || matched.Gather == nil {
+			continue
+		}
+		for _, shard := range r.Shards {
+			if !slices.Contains(matched.Gather.Shards, shard) {
+				return nil, peer.OtherVersion, version
+			}
+		}
+		now := n.timers.Now()
+
+		return &dispatch.Query{
+			Route: matched, Version: version, RequestID: r.RequestID, Method: r.Method, Head: r.Head,
+			Deadline: now.Add(r.Left), Received: now, Elapsed: r.Elapsed, Extra: r.Extra, Shards: r.Shards,
+		}, "", version
+	}
+
+	return nil, peer.OtherVersion, version
+}
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -27,9 +27,9 @@
 	"github.com/hickorynotch/hickorynotch/internal/tier/caller"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+	"github.com/hickorynotch/hickorynotch/internal/tier/handover"
+	"github.com/hickorynotch/hickorynotch/internal/tier/peer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
-	"github.com/hickorynotch/hickorynotch/internal/world/directory"
-	"github.com/hickorynotch/hickorynotch/internal/world/route"
 )
 
 // Error is the class of the errors of this package.
@@ -43,10 +43,11 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes is above the limit of the users' configurations.
 	maxHeaderBytes = 64 << 10
-	// targetPeriod is the time between two reads of the targets' entries.
+	// targetPeriod is the time between two reads of the targets' entries while no other instance reads them for the fleet.
 	targetPeriod = time.Second
-	// configurationWait is how long a call waits for a new configuration.
-	configurationWait = 3 * time.Second
+	// connectionShare is the share of the connections accepted by a target that the fleet uses; the rest is for instances that
+	// start.
+	connectionShare = 0.9
 	// defaultReturnPath is the time between the objective of a caller and the end of a gathered query here: opening a
 	// connection and sending a request takes 9 ms at 3 ms each way, the answer 3 ms, and the rest is for waiting processors.
 	defaultReturnPath = 20 * time.Millisecond
@@ -58,6 +59,7 @@
 	Callers        caller.Codec
 	Configurations control.ConfigurationSource
 	Directory      control.TargetSource
+	Own            control.OwnStore
 }
 
 // Node is an instance of the query tier.
@@ -68,15 +70,23 @@
 	metrics  *metric.Set
 
 	configuration *control.Configuration
+	members       *control.Fleet
 	targets       *control.Targets
+	leadership    *control.Leadership
 	fleet         *target.Fleet
 	ledger        *budget.Ledger
 	dispatcher    *dispatch.Dispatcher
 	handler       *caller.Handler
+	peers         *peer.Client
+	peerServer    *peer.Server
+	handover      *handover.Handover
 
+	shares   atomic.Pointer[shares]
 	listed   atomic.Bool // the targets are known
 	stopping atomic.Bool
-	ready    atomic.Bool // as it was last logged
+	// stopBegan is closed when a stop begins.
+	stopBegan chan struct{}
+	ready     atomic.Bool // as it was last logged
 }
 
 // Option configures a Node.
@@ -91,50 +101,46 @@
 func New(settings Settings, adapters Adapters, timers *timer.Service, options ...Option) (n *Node, err error) {
 	defer func() { err = Error.Wrap(err) }()
 
-	n = &Node{settings: settings, timers: timers}
+	n = &Node{settings: settings, timers: timers, stopBegan: make(chan struct{})}
 	for _, option := range options {
 		option(n)
 	}
 	if n.metrics, err = metric.New(); err != nil {
 		return nil, err
 	}
-	n.fleet = target.NewFleet(adapters.Targets, timers, target.WithLog(n.log))
-	n.ledger = budget.NewLedger(timers.Now(), n.budget)
-	n.dispatcher = dispatch.New(n.fleet, n.ledger, timers, dispatch.Settings{
-		Place: choice.Place{
-			AvailabilityZone: settings.AvailabilityZone, Region: settings.Region, Regions: settings.Regions,
-		},
-		ReturnPath: defaultReturnPath,
-		Hedges:     true,
-	}, dispatch.WithLog(n.log), dispatch.WithMetrics(n.metrics))
-	n.configuration = control.NewConfiguration(adapters.Configurations, timers, configurationWait,
-		control.WithConfigurationLog(n.log), control.OnAdopted(func(t *route.Table) { n.dispatcher.Keep(t) }))
-	n.targets = control.NewTargets(adapters.Directory, timers, targetPeriod, n.adopt, control.WithTargetsLog(n.log))
-	n.handler = caller.NewHandler(adapters.Callers, n.configuration.Current,
-		caller.Dispatch{Gather: n.dispatcher.Gather, Forward: n.dispatcher.Forward}, timers,
-		caller.WithLog(n.log), caller.WithMetrics(n.metrics))
+	n.assemble(adapters)
 
 	return n, nil
 }
 
-func (n *Node) adopt(d *directory.Directory) {
-	n.fleet.Update(d)
-	n.listed.Store(true)
-}
-
-// budget returns the bounds for extra requests in force.
-func (n *Node) budget() budget.Limits {
-	return budget.Limits{
-		Ratio:     n.settings.RetryRatio,
-		Allowance: n.settings.RetryAllowance,
-		Window:    n.settings.RetryWindow,
-		Instances: assumedInstances,
+func (n *Node) assemble(adapters Adapters) {
+	settings, timers := n.settings, n.timers
+	place := choice.Place{AvailabilityZone: settings.AvailabilityZone, Region: settings.Region, Regions: settings.Regions}
+	self := control.Instance{
+		Name: settings.Name, Peer: settings.Peer, AvailabilityZone: settings.AvailabilityZone,
+		Processor: settings.Processor, LinkBits: settings.LinkBits,
 	}
+	n.shares.Store(&shares{instances: assumedInstances})
+	n.fleet = target.NewFleet(adapters.Targets, timers, target.WithLog(n.log), target.WithConnections(n.connections))
+	n.ledger = budget.NewLedger(timers.Now(), n.budget)
+	n.dispatcher = dispatch.New(n.fleet, n.ledger, timers, dispatch.Settings{
+		Place: place, ReturnPath: defaultReturnPath, Hedges: true,
+	}, dispatch.WithLog(n.log), dispatch.WithMetrics(n.metrics),
+		dispatch.WithGroups(func(q *dispatch.Query) []dispatch.Group { return n.handover.Groups(q) }))
+	n.peers = peer.NewClient(timers)
+	n.members = control.NewFleet(adapters.Own, self, timers, control.WithFleetLog(n.log), control.OnView(n.setView))
+	n.configuration = control.NewConfiguration(adapters.Configurations, timers, n.members.Wait,
+		control.WithConfigurationLog(n.log), control.OnAdopted(n.adoptTable))
+	n.handover = handover.New(self, place, n.peers, timers, n.dispatcher.Gather, handover.WithLog(n.log),
+		handover.OnNewer(func(uint64) { n.configuration.Refresh() }), handover.OnChanged(n.members.Behind))
+	n.peerServer = peer.NewServer(n.prepare, n.dispatcher.Gather, n.members.Revision)
+	n.targets = control.NewTargets(adapters.Directory, timers, n.adopt, control.WithTargetsLog(n.log))
+	n.leadership = control.NewLeadership(n.members, n.targets, adapters.Own, timers, targetPeriod, n.log)
+	n.handler = caller.NewHandler(adapters.Callers, n.configuration.Current,
+		caller.Dispatch{Gather: n.handover.Gather, Forward: n.dispatcher.Forward}, timers,
+		caller.WithLog(n.log), caller.WithMetrics(n.metrics))
 }
 
-// assumedInstances is the size of the fleet while it is not known: the users' small sites with their spare machines.
-const assumedInstances = 11
-
 // Ready reports whether the instance can serve: it knows the configuration and the targets and is not about to stop.
 func (n *Node) Ready() bool {
 	return n.configuration.Current() != nil && n.listed.Load() && !n.stopping.Load()
@@ -148,6 +154,7 @@
 	n.log.Log(event.InstanceStarting, "Instance", n.settings.Name, "AvailabilityZone", n.settings.AvailabilityZone,
 		"Callers", n.settings.Callers, "Store", n.settings.Store)
 	defer n.fleet.Close()
+	defer n.peers.Close()
 
 	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopParts()
@@ -166,6 +173,11 @@
 
 		return nil
 	}, func(error) {})
+	peerListener, err := new(net.ListenConfig).Listen(ctx, "tcp", n.settings.Peer.String())
+	if err != nil {
+		return err
+	}
+	group.Add(func() error { return ignoreCancel(n.peerServer.Serve(parts, peerListener)) }, func(error) { stopParts() })
 	supervisor := n.supervisor()
 	group.Add(func() error { return ignoreCancel(supervisor.Serve(parts)) }, func(error) { stopParts() })
 	for _, s := range []struct {
@@ -199,7 +211,9 @@
 		EventHook: func(failed suture.Event) { n.log.Log(event.ServiceFailed, "Reason", failed.String()) },
 	})
 	supervisor.Add(service{"configuration", n.configuration.Run})
-	supervisor.Add(service{"targets", n.targets.Run})
+	supervisor.Add(service{"fleet", n.members.Run})
+	supervisor.Add(service{"targets", n.leadership.Run})
+	supervisor.Add(service{"registration", n.register})
 
 	return supervisor
 }
--- a/internal/tier/node/node_test.go
+++ b/internal/tier/node/node_test.go
@@ -104,6 +104,7 @@
 		Directory: control.TargetSource{List: func(context.Context) (control.Listed, error) {
 			return control.Listed{Targets: targets}, nil
 		}},
+		Own: newMemory().store(),
 	}, timer.New())
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/tier/node/stop.go
+++ b/internal/tier/node/stop.go
@@ -17,6 +17,8 @@
 	acceptShare = 0.72
 	// endShare is the part of the stop timeout after which the process ends, before it is ended by force.
 	endShare = 0.95
+	// drainPeriod is the time between two looks at the queries of peers.
+	drainPeriod = 20 * time.Millisecond
 )
 
 // stop finishes what is in flight. Callers learn first from the readiness and then from each answer that they should use other
@@ -27,6 +29,7 @@
 		return started.Add(time.Duration(of * float64(n.settings.StopTimeout)))
 	}
 	n.stopping.Store(true)
+	close(n.stopBegan)
 	n.log.Log(event.InstanceStopping, "InFlight", n.handler.InFlight())
 	<-n.timers.After(n.timers.Until(share(noticeShare)))
 	n.handler.Close()
@@ -35,5 +38,16 @@
 	ctx, cancel := n.timers.WithTimeout(context.Background(), n.timers.Until(share(endShare)))
 	defer cancel()
 	err := callers.Shutdown(ctx)
+	n.drainPeers(ctx)
 	n.log.Log(event.InstanceStopped, "InFlight", n.handler.InFlight(), "Error", err)
 }
+
+// drainPeers waits until no query is gathered for a peer.
+func (n *Node) drainPeers(ctx context.Context) {
+	for n.peerServer.Active() > 0 && ctx.Err() == nil {
+		select {
+		case <-n.timers.After(drainPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/tier/peer/server.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+)
+
+// The reasons for which a query is declined.
+const (
+	// OtherVersion means that the gatherer has another configuration in force.
+	OtherVersion = "OtherVersion"
+	// Stopping means that the gatherer is about to stop.
+	Stopping = "Stopping"
+)
+
+// Prepare turns a request into a query of the configuration in force, or says why it is declined.
+type Prepare func(r *GatherRequest) (q *dispatch.Query, declined string, version uint64)
+
+// Server answers peers. It is safe for concurrent use.
+type Server struct {
+	prepare Prepare
+	gather  func(ctx context.Context, q *dispatch.Query) dispatch.Answer
+	mirror  func() uint64
+	active  atomic.Int64
+}
+
+// NewServer returns a Server that gathers by the given functions. Mirror returns the newest revision of the targets' mirror.
+func NewServer(
+	prepare Prepare, gather func(ctx context.Context, q *dispatch.Query) dispatch.Answer, mirror func() uint64,
+) *Server {
+	return &Server{prepare: prepare, gather: gather, mirror: mirror}
+}
+
+// Active returns the number of queries that are gathered for peers.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// Serve answers calls on listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	return Error.Wrap(drpcserver.New(s).Serve(ctx, listener))
+}
+
+// HandleRPC implements drpc.Handler.
+func (s *Server) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	if rpc != rpcGather {
+		return drpc.ProtocolError.New("call %q is not known", rpc)
+	}
+	var request GatherRequest
+	if err := stream.MsgRecv(&request, encoding{}); err != nil {
+		return err
+	}
+	active := int(s.active.Add(1))
+	defer s.active.Add(-1)
+	q, declined, version := s.prepare(&request)
+	accepted := &GatherAccepted{Declined: declined, Version: version, Mirror: s.mirror(), Active: active}
+	if err := stream.MsgSend(accepted, encoding{}); err != nil || declined != "" {
+		return err
+	}
+	answer := s.gather(stream.Context(), q)
+
+	return stream.MsgSend(newAnswer(&answer, int(s.active.Load())), encoding{})
+}
--- a/internal/world/route/route.go
+++ b/internal/world/route/route.go
@@ -41,12 +41,12 @@
 	MinimumCoverage float64
 }
 
-// MinimumParts returns the smallest number of parts that an answer may be merged from.
-func (g *Gather) MinimumParts() int {
+// MinimumParts returns the smallest number of parts that an answer for the given number of shards may be merged from.
+func (g *Gather) MinimumParts(shards int) int {
 	// The tolerance keeps 0.9 of 20 shards at 18, although the product is slightly above it in floating point.
 	const tolerance = 1e-9
-	parts := int(g.MinimumCoverage * float64(len(g.Shards)))
-	if float64(parts) < g.MinimumCoverage*float64(len(g.Shards))-tolerance {
+	parts := int(g.MinimumCoverage * float64(shards))
+	if float64(parts) < g.MinimumCoverage*float64(shards)-tolerance {
 		parts++
 	}
 
