Keep connections to peers after a cancelled query

Change: a call that was cancelled after the peer had accepted it keeps its connection, and the time of opening one counts as elapsed.

--- a/internal/decision/hedging/hedging.go
+++ b/internal/decision/hedging/hedging.go
@@ -12,7 +12,7 @@
 const (
 	// share is the part of the objective after which a part is late. The rest is enough for the way to a replica in another
 	// region, a queue of a few requests and the work.
-	share = 0.25
+	share = 0.17
 	// usualFactor keeps hedges from parts that are as late as one in ten usually is.
 	usualFactor = 1.15
 	// latest is the part of the objective after which a hedge could not answer within it.
--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -65,6 +65,8 @@
 	current atomic.Pointer[route.Table]
 	health  health
 	again   chan struct{}
+	// settle is the time for which further versions are collected after one has come, because each wait is a call.
+	settle time.Duration
 }
 
 // ConfigurationOption configures a Configuration.
@@ -75,6 +77,11 @@
 	return func(c *Configuration) { c.log = log }
 }
 
+// WithSettle sets the time for which further versions are collected after one has come.
+func WithSettle(settle time.Duration) ConfigurationOption {
+	return func(c *Configuration) { c.settle = settle }
+}
+
 // OnAdopted adds a function that is called with each configuration that comes into force.
 func OnAdopted(adopted func(*route.Table)) ConfigurationOption {
 	return func(c *Configuration) { c.adopted = append(c.adopted, adopted) }
@@ -134,12 +141,22 @@
 		c.health.succeeded()
 		backoff.reset()
 		c.adopt(stored)
+		if known && stored.Table != nil {
+			c.pause(ctx)
+		}
 		revision, known = stored.Revision, true
 	}
 
 	return ctx.Err()
 }
 
+func (c *Configuration) pause(ctx context.Context) {
+	select {
+	case <-c.timers.After(c.settle):
+	case <-ctx.Done():
+	}
+}
+
 func (c *Configuration) read(ctx context.Context) (Stored, error) {
 	ctx, cancel := c.timers.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/tier/control/lead.go
+++ b/internal/tier/control/lead.go
@@ -19,6 +19,10 @@
 	leadPeriod = 500 * time.Millisecond
 	// rankDelay is the pause between the tries of two instances to lead. It is longer than a change needs to reach all.
 	rankDelay = 25 * time.Millisecond
+	// mirrorGrace is how long an instance waits for the mirror of a new leader before it reads the entries itself.
+	mirrorGrace = 600 * time.Millisecond
+	// startSpread is the age up to which an instance tries to lead after a random pause.
+	startSpread = 3 * time.Second
 	// maxRankDelay bounds the pause of the last instance.
 	maxRankDelay = 800 * time.Millisecond
 )
@@ -34,20 +38,29 @@
 	timers  *timer.Service
 	log     *event.Log
 	period  time.Duration
+	started time.Time
 }
 
 // NewLeadership returns the part of an instance that leads or follows. The period is that of reads without a leader.
-func NewLeadership(fleet *Fleet, targets *Targets, store OwnStore, timers *timer.Service, period time.Duration, log *event.Log) *Leadership {
-	return &Leadership{fleet: fleet, targets: targets, store: store, timers: timers, log: log, period: period}
+func NewLeadership(
+	fleet *Fleet, targets *Targets, store OwnStore, timers *timer.Service, period time.Duration, log *event.Log,
+) *Leadership {
+	return &Leadership{
+		fleet: fleet, targets: targets, store: store, timers: timers, log: log, period: period, started: timers.Now(),
+	}
 }
 
 // Run leads or follows until ctx ends.
 func (l *Leadership) Run(ctx context.Context) error {
+	l.await(ctx, mirrorGrace)
 	for ctx.Err() == nil {
 		view := l.fleet.View()
 		switch {
 		case view.Known && view.Leader == "":
 			l.campaign(ctx, view)
+			if l.fleet.View().Leader != "" {
+				l.await(ctx, mirrorGrace)
+			}
 		case view.Known && view.Targets != nil:
 			l.targets.Adopt(view.Targets)
 			select {
@@ -94,7 +107,8 @@
 // campaign tries to lead after a delay by rank, and leads if no other instance was earlier.
 func (l *Leadership) campaign(ctx context.Context, view View) {
 	delay := min(time.Duration(rank(view.Instances, l.fleet.self))*rankDelay, maxRankDelay)
-	if len(view.Instances) == 0 {
+	if l.timers.Since(l.started) < startSpread {
+		// All instances may have started at the same moment, and know few others yet.
 		delay = rand.N(maxRankDelay)
 	}
 	select {
@@ -116,9 +130,6 @@
 
 // lead takes the leadership, and mirrors the entries until it is lost.
 func (l *Leadership) lead(ctx context.Context) (err error) {
-	if err := l.targets.Read(ctx); err != nil {
-		return err
-	}
 	t := &term{Leadership: l}
 	defer func() { t.end(ctx, err) }()
 	if err := t.begin(ctx); err != nil {
@@ -173,6 +184,9 @@
 		if t.revision, err = t.claim(ctx, 0, false); err != nil {
 			return err
 		}
+		if err = t.targets.Read(ctx); err != nil {
+			return err
+		}
 		entries, _, err := t.store.List(ctx, mirrorPrefix)
 		if err != nil {
 			return err
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -45,12 +45,14 @@
 	maxHeaderBytes = 64 << 10
 	// targetPeriod is the time between two reads of the targets' entries while no other instance reads them for the fleet.
 	targetPeriod = time.Second
+	// settleShare is the share of the bound for a new configuration in which further versions are collected.
+	settleShare = 10
 	// connectionShare is the share of the connections accepted by a target that the fleet uses; the rest is for instances that
 	// start.
 	connectionShare = 0.9
 	// defaultReturnPath is the time between the objective of a caller and the end of a gathered query here: opening a
 	// connection and sending a request takes 9 ms at 3 ms each way, the answer 3 ms.
-	defaultReturnPath = 12 * time.Millisecond
+	defaultReturnPath = 20 * time.Millisecond
 )
 
 // Adapters connect the instance with its surroundings.
@@ -131,7 +133,8 @@
 	n.members = control.NewFleet(adapters.Own, self, timers, control.WithFleetLog(n.log),
 		control.WithDrainBound(settings.DrainBound), control.OnView(n.setView))
 	n.configuration = control.NewConfiguration(adapters.Configurations, timers, n.members.Wait,
-		control.WithConfigurationLog(n.log), control.OnAdopted(n.adoptTable))
+		control.WithConfigurationLog(n.log), control.OnAdopted(n.adoptTable),
+		control.WithSettle(settings.ApplyBound/settleShare))
 	n.handover = handover.New(self, place, n.peers, timers, n.dispatcher.Gather, handover.WithLog(n.log),
 		handover.OnNewer(func(uint64) { n.configuration.Refresh() }), handover.OnChanged(n.members.Behind))
 	n.peerServer = peer.NewServer(n.prepare, n.dispatcher.Gather, n.members.Revision)
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -106,6 +106,7 @@
 ) (reply Reply, err error) {
 	defer func() { err = Error.Wrap(err) }()
 
+	started := c.timers.Now()
 	// The bound covers the opening of a connection as well.
 	var late bool
 	callCtx, cancel := context.WithCancel(ctx)
@@ -142,6 +143,10 @@
 		_ = stream.Close()
 		c.put(address, l, err)
 	}()
+	// Opening a connection takes time of the query.
+	opened := c.timers.Since(started)
+	request.Elapsed += opened
+	request.Left -= opened
 	if err = stream.MsgSend(request, encoding{}); err != nil {
 		return reply, accepted(err)
 	}
@@ -158,7 +163,7 @@
 		var answer GatherAnswer
 		if err = stream.MsgRecv(&answer, encoding{}); err != nil {
 			if ctx.Err() != nil {
-				return reply, ctx.Err()
+				return reply, context.Canceled
 			}
 
 			return reply, errors.Join(ErrLost, err)
@@ -203,12 +208,18 @@
 	})}, nil
 }
 
-// put keeps the connection after a call that ended well. A call that failed leaves the state of the connection in doubt, and
-// with it that of the other idle connections to the peer.
+// put keeps the connection after a call that ended well, was declined, or was cancelled after the peer had accepted it. Any other
+// end leaves the state of the connection in doubt, and a peer that does not answer that of the other idle connections to it.
 func (c *Client) put(address netip.AddrPort, l *link, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if (err == nil || errors.Is(err, ErrDeclined)) && !c.ended && len(c.idle[address]) < maxIdle {
+	sound := err == nil || errors.Is(err, ErrDeclined) || errors.Is(err, context.Canceled)
+	select {
+	case <-l.conn.Closed():
+		sound = false
+	default:
+	}
+	if sound && !c.ended && len(c.idle[address]) < maxIdle {
 		l.usedAt = c.timers.Now()
 		c.idle[address] = append(c.idle[address], l)
 
