--- a/internal/decision/choice/choice.go
+++ b/internal/decision/choice/choice.go
@@ -26,9 +26,12 @@
 	pauseRemainder = 120 * time.Millisecond
 	// failureCost is the cost of a replica that fails every request; it exceeds the objective of the gathered queries.
 	failureCost = 400 * time.Millisecond
-	// zoneCost and regionCost express the price of the bytes and the delay of a path that leaves the availability zone or the region.
-	zoneCost   = 4 * time.Millisecond
-	regionCost = 25 * time.Millisecond
+	// zoneDelay and regionDelay are the round trips of a path that leaves the availability zone or the region; a pace that was
+	// seen holds them already. zoneCost and regionCost express the price of the bytes of a part on such a path.
+	zoneDelay   = 3 * time.Millisecond
+	regionDelay = 22 * time.Millisecond
+	zoneCost    = 1 * time.Millisecond
+	regionCost  = 6 * time.Millisecond
 	// warmupFactor is how much slower a replica is that has just started.
 	warmupFactor = 1.6
 	// reportAge is the age after which a report of load is not used any more, a few times the mean work.
@@ -179,11 +182,15 @@
 		cost += pauseRemainder
 	}
 	cost += time.Duration(f.Failures * float64(failureCost))
+	delay := time.Duration(0)
 	switch distance {
 	case SameRegion:
-		cost += zoneCost
+		cost, delay = cost+zoneCost, zoneDelay
 	case OtherRegion:
-		cost += regionCost
+		cost, delay = cost+regionCost, regionDelay
+	}
+	if f.Pace == 0 {
+		cost += delay
 	}
 
 	return cost
--- a/internal/decision/hedging/hedging.go
+++ b/internal/decision/hedging/hedging.go
@@ -16,17 +16,27 @@
 	// usualFactor keeps hedges from parts that are as late as one in ten usually is.
 	usualFactor = 1.15
 	// latest is the part of the objective after which a hedge could not answer within it.
-	latest = 0.5
+	latest = 0.3
+	// secondFactor is the number of expected times of the second replica that are kept for it before the end of the time.
+	secondFactor = 1.4
+	// paceFactor is the number of usual times of the first replica that it gets in any case, and earliest the shortest delay.
+	paceFactor = 1.3
+	earliest   = 4 * time.Millisecond
 	// stoppedShare is the part of the delay after which a part is hedged whose replica answers no other request either.
 	stoppedShare = 0.5
 )
 
 // Facts is what decides the delay of a hedge.
 type Facts struct {
-	// Objective is the time that was left until the latency objective when the part was sent.
+	// Objective is the latency objective of the route.
 	Objective time.Duration
 	// Usual is the 90th percentile of the recent times of the route's attempts, zero if it is not known.
 	Usual time.Duration
+	// Left is the time until the answer is given without the part. Second is the expected time of the second replica, zero if it is
+	// not known, and Pace the usual time of the first.
+	Left   time.Duration
+	Second time.Duration
+	Pace   time.Duration
 	// Stopped is set if the replica seems to have stopped answering.
 	Stopped bool
 }
@@ -37,6 +47,9 @@
 	if usual := time.Duration(usualFactor * float64(f.Usual)); usual > delay {
 		delay = min(usual, max(delay, time.Duration(latest*float64(f.Objective))))
 	}
+	if last := f.Left - time.Duration(secondFactor*float64(f.Second)); f.Second > 0 && f.Left > 0 && last < delay {
+		delay = max(last, time.Duration(paceFactor*float64(f.Pace)), earliest)
+	}
 	if f.Stopped {
 		delay = time.Duration(stoppedShare * float64(delay))
 	}
--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -19,6 +19,7 @@
 	ResponseForeign = declare(4015, "ResponseForeign", Warning, "A response to another request arrived on a connection and was dropped.")
 
 	GathererFailed  = declare(5014, "GathererFailed", Warning, "A peer did not gather a query; another instance does.")
+	RequestGathered = declare(5015, "RequestGathered", Info, "A query, or some of its shards, was gathered for a peer.")
 	RequestAnswered = declare(5010, "RequestAnswered", Info, "A request was answered; the line shows what decided its end.")
 	RequestRefused  = declare(5011, "RequestRefused", Warning, "A request was refused and has not run.")
 	RequestFailed   = declare(5012, "RequestFailed", Warning, "A request ended without an answer and may have run.")
--- a/internal/tier/dispatch/flight.go
+++ b/internal/tier/dispatch/flight.go
@@ -158,13 +158,14 @@
 
 		return false
 	}
-	f.launch(i, f.links[verdict.Index], &f.facts[verdict.Index], now)
+	second := choice.Choose(f.facts, f.d.settings.Place, func(k int) bool { return k == verdict.Index || j.used(f.links[k]) })
+	f.launch(i, f.links[verdict.Index], &f.facts[verdict.Index], second, now)
 
 	return true
 }
 
 // launch makes an attempt at a target.
-func (f *flight) launch(i int, link *target.Link, facts *choice.Facts, now time.Time) {
+func (f *flight) launch(i int, link *target.Link, facts *choice.Facts, second choice.Verdict, now time.Time) {
 	j := &f.jobs[i]
 	a := &attempt{link: link}
 	j.attempts = append(j.attempts, a)
@@ -176,6 +177,9 @@
 		j.hedgeAt = now.Add(hedging.Delay(hedging.Facts{
 			Objective: f.query.Route.Objective,
 			Usual:     f.d.usual(f.query.Route.Name),
+			Left:      f.cut() - f.query.Elapsed - now.Sub(f.query.Received),
+			Second:    second.Cost,
+			Pace:      facts.Pace,
 			Stopped:   facts.Stopped(),
 		}))
 	}
@@ -250,7 +254,7 @@
 
 		return false
 	}
-	f.launch(i, f.links[verdict.Index], &f.facts[verdict.Index], now)
+	f.launch(i, f.links[verdict.Index], &f.facts[verdict.Index], choice.Verdict{}, now)
 
 	return true
 }
@@ -358,13 +362,18 @@
 	if f.early {
 		return len(f.jobs)
 	}
-	if f.subset && f.query.Elapsed < f.query.Route.Objective-f.d.settings.ReturnPath {
+	if f.subset && f.query.Elapsed < f.cut() {
 		return 0
 	}
 
 	return f.query.Route.Gather.MinimumParts(len(f.jobs))
 }
 
+// cut returns the time since the caller's first attempt at which an answer has to be given to be in time.
+func (f *flight) cut() time.Duration {
+	return f.query.Route.Objective - f.d.settings.ReturnPath
+}
+
 func (f *flight) decideSingle(now time.Time) (wait time.Duration, done bool) {
 	j := &f.jobs[0]
 	switch {
--- a/internal/tier/node/fleet.go
+++ b/internal/tier/node/fleet.go
@@ -92,6 +92,13 @@
 	return max(1, int(connectionShare*float64(described.MaxConnections))/holders)
 }
 
+// gathers reports whether this instance is likely to gather parts of a service.
+func (n *Node) gathers(service string) bool {
+	s := n.shares.Load()
+
+	return s.strong && s.gatherers[service] > 0 && !n.stopping.Load()
+}
+
 // budget returns the bounds for extra requests to a service. Gatherers send nearly all requests for shards, so most of the
 // allowance is theirs.
 func (n *Node) budget(service string) budget.Limits {
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -8,6 +8,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
 )
 
@@ -27,14 +29,17 @@
 	prepare Prepare
 	gather  func(ctx context.Context, q *dispatch.Query) dispatch.Answer
 	mirror  func() uint64
+	timers  *timer.Service
+	log     *event.Log
 	active  atomic.Int64
 }
 
 // NewServer returns a Server that gathers by the given functions. Mirror returns the newest revision of the targets' mirror.
 func NewServer(
 	prepare Prepare, gather func(ctx context.Context, q *dispatch.Query) dispatch.Answer, mirror func() uint64,
+	timers *timer.Service, log *event.Log,
 ) *Server {
-	return &Server{prepare: prepare, gather: gather, mirror: mirror}
+	return &Server{prepare: prepare, gather: gather, mirror: mirror, timers: timers, log: log}
 }
 
 // Active returns the number of queries that are gathered for peers.
@@ -69,7 +74,12 @@
 			_ = stream.MsgSend(newAnswer(&early, int(s.active.Load())), encoding{})
 		}
 	}
+	started := s.timers.Now()
 	answer := s.gather(stream.Context(), q)
+	s.log.Log(event.RequestGathered, "Request", q.RequestID, "Route", q.Route.Name, "Version", q.Version,
+		"Status", answer.Status, "Reason", answer.Reason, "Took", s.timers.Since(started), "Elapsed", q.Elapsed, "Extra", q.Extra,
+		"Shards", len(request.Shards), "Missing", answer.Missing, "Attempts", answer.Attempts, "Hedges", answer.Hedges,
+		"Retries", answer.Retries, "Denied", answer.Denied, "Active", active)
 
 	return stream.MsgSend(newAnswer(&answer, int(s.active.Load())), encoding{})
 }
