--- /dev/null
+++ b/internal/decision/budget/budget_test.go
@@ -0,0 +1,90 @@
+package budget_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
+)
+
+func TestBudget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "budget")
+}
+
+const (
+	ratio     = 0.2
+	allowance = 56.0
+	window    = 10 * time.Second
+)
+
+// TestFleet spends greedily at several instances, some of which start again, and checks each sliding window of the fleet.
+func TestFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 12).Draw(t, "instances")
+		seed := rapid.Uint64().Draw(t, "seed")
+		perSecond := rapid.IntRange(1, 200).Draw(t, "requests a second")
+		random := rand.New(rand.NewPCG(seed, 1))
+		limits := budget.Limits{Ratio: ratio, Allowance: allowance, Window: window, Share: 1 / float64(instances)}
+		start := time.Unix(0, 0)
+		windows := make([]*budget.Window, instances)
+		for i := range windows {
+			windows[i] = budget.New(start.Add(-window))
+		}
+		var requests, extras []time.Duration
+		for at := time.Duration(0); at < 40*time.Second; at += time.Second / time.Duration(perSecond) {
+			now := start.Add(at)
+			i := random.IntN(instances)
+			windows[i].Earn(now, limits, 1)
+			requests = append(requests, at)
+			for windows[i].Spend(now, limits) {
+				extras = append(extras, at)
+			}
+		}
+		for _, from := range extras {
+			spent := count(extras, from, window)
+			// The bound counts the requests of the window or of the one before, whichever has more.
+			base := max(count(requests, from, window), count(requests, from-window, window))
+			if float64(spent) > ratio*float64(base)+allowance {
+				t.Fatalf("%d extra requests in the window from %v for %d requests", spent, from, base)
+			}
+		}
+	})
+}
+
+func count(times []time.Duration, from, length time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= from && at < from+length {
+			n++
+		}
+	}
+
+	return n
+}
+
+var _ = Describe("Window", func() {
+	limits := budget.Limits{Ratio: ratio, Allowance: allowance, Window: window, Share: 0.5}
+
+	It("gives an instance that has just started no allowance, because the one before it may have spent it", func() {
+		start := time.Unix(100, 0)
+		w := budget.New(start)
+		Expect(w.Spend(start, limits)).To(BeFalse())
+		Expect(w.Spend(start.Add(window), limits)).To(BeTrue())
+	})
+
+	It("forgets what was spent before the window, so that a burst of failures does not close it for ever", func() {
+		start := time.Unix(100, 0)
+		w := budget.New(start.Add(-window))
+		for w.Spend(start, limits) {
+			continue
+		}
+		Expect(w.Spend(start.Add(window/2), limits)).To(BeFalse())
+		Expect(w.Spend(start.Add(window+time.Second), limits)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/internal/decision/choice/choice_test.go
@@ -0,0 +1,69 @@
+package choice_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
+)
+
+func TestChoice(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "choice")
+}
+
+const ms = time.Millisecond
+
+var place = choice.Place{
+	AvailabilityZone: "Kochi", Region: "Kerala",
+	Regions: map[string]string{"Kochi": "Kerala", "Thrissur": "Kerala", "Vitoria": "Euskadi"},
+}
+
+func replica(zone string, pace time.Duration) choice.Facts {
+	return choice.Facts{AvailabilityZone: zone, Slots: 2, Pace: pace, ReportAge: time.Hour}
+}
+
+var _ = DescribeTable("Choose",
+	func(near, far func(*choice.Facts), expected int) {
+		replicas := []choice.Facts{replica("Kochi", 20*ms), replica("Vitoria", 40*ms)}
+		near(&replicas[0])
+		far(&replicas[1])
+		Expect(choice.Choose(replicas, place, nil).Index).To(Equal(expected))
+	},
+	Entry("keeps parts in the zone, because each byte between regions is paid for",
+		func(*choice.Facts) {}, func(*choice.Facts) {}, 0),
+	Entry("leaves a replica that has stopped answering before its pause is over",
+		func(f *choice.Facts) { f.InFlight, f.Silent = 1, 80*ms }, func(*choice.Facts) {}, 1),
+	Entry("does not take a request that has only begun for a pause",
+		func(f *choice.Facts) { f.InFlight, f.Silent = 1, 10*ms }, func(*choice.Facts) {}, 0),
+	Entry("leaves a replica that is several times slower",
+		func(f *choice.Facts) { f.Pace = 120 * ms }, func(*choice.Facts) {}, 1),
+	Entry("tries a replica again that was slow long ago",
+		func(f *choice.Facts) { f.Pace, f.PaceAge = 120*ms, 20*time.Second }, func(*choice.Facts) {}, 0),
+	Entry("leaves a replica whose slots are taken by requests of other instances",
+		func(f *choice.Facts) { f.Reported, f.ReportAge = 8, 5*ms }, func(*choice.Facts) {}, 1),
+	Entry("does not trust a report of load that is old",
+		func(f *choice.Facts) { f.Reported, f.ReportAge = 8, time.Second }, func(*choice.Facts) {}, 0),
+	Entry("leaves a replica that fails while its health is good",
+		func(f *choice.Facts) { f.Failures = 0.4 }, func(*choice.Facts) {}, 1),
+	Entry("uses the failing replica if the other one fails more",
+		func(f *choice.Facts) { f.Failures = 0.4 }, func(f *choice.Facts) { f.Failures = 0.9 }, 0),
+	Entry("leaves a replica whose machine reports that work takes four times as long",
+		func(f *choice.Facts) { f.Slowdown, f.ReportAge = 4, 5*ms }, func(*choice.Facts) {}, 1),
+)
+
+var _ = Describe("Choose", func() {
+	It("returns no replica when all are skipped, so that none gets the request twice", func() {
+		verdict := choice.Choose([]choice.Facts{replica("Kochi", ms)}, place, func(int) bool { return true })
+		Expect(verdict.Index).To(Equal(-1))
+		Expect(verdict.Reason).To(Equal("NoReplica"))
+	})
+
+	It("counts the round trip of a distant replica without samples, so that an unknown one is not taken for a fast one", func() {
+		replicas := []choice.Facts{replica("Kochi", 20*ms), replica("Vitoria", 0)}
+		Expect(choice.Choose(replicas, place, nil).Index).To(Equal(0))
+	})
+})
