Let the leader tell the others of changes that their waits do not hear of

Shorter waits were ruled out: 79 instances with waits of 3 s make 53 calls a second.

Change: the leader reads the configuration once a second and sends a notice of versions to all instances, which read the store if a change does not come or if there are no notices.

--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -9,6 +9,8 @@
 	LeadershipBegan    = declare(1015, "LeadershipBegan", Info, "This instance reads the targets' entries for the fleet.")
 	LeadershipEnded    = declare(1016, "LeadershipEnded", Warning, "This instance no longer reads the targets' entries for the fleet.")
 
+	NoticeFailed = declare(1017, "NoticeFailed", Warning, "A notice of the leader did not reach an instance.")
+
 	LinesDropped = declare(1012, "LinesDropped", Warning, "Log lines were dropped because the output did not take them.")
 
 	TargetFound     = declare(4010, "TargetFound", Info, "A target was registered.")
--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,7 @@
 	again   chan struct{}
 	// settle is the time for which further versions are collected after one has come, because each wait is a call.
 	settle time.Duration
+	mu     sync.Mutex // serializes adoption
 }
 
 // ConfigurationOption configures a Configuration.
@@ -111,6 +113,23 @@
 	}
 }
 
+// Check reads the store once, whatever the keeper waits for.
+func (c *Configuration) Check(ctx context.Context) error {
+	stored, err := c.read(ctx)
+	if err == nil {
+		c.adopt(stored)
+	}
+
+	return err
+}
+
+// Behind makes the keeper read the store if version is newer than the one in force.
+func (c *Configuration) Behind(version uint64) {
+	if current := c.current.Load(); current == nil || version > current.Version() {
+		c.Refresh()
+	}
+}
+
 // Run keeps the configuration until ctx ends.
 func (c *Configuration) Run(ctx context.Context) error {
 	revision, known := uint64(0), false
@@ -188,6 +207,8 @@
 	if stored.Table == nil {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	current := c.current.Load()
 	switch {
 	case current != nil && stored.Table.Version() < current.Version():
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -43,6 +43,12 @@
 	minimumWait    = 8 * time.Second
 	maximumWait    = 28 * time.Second
 	callsPerSecond = 3
+	// noticeTimeout is the time without a notice of the leader after which the store is read again, and noticeCheck the time
+	// between two looks. Leaders send a notice each second.
+	noticeTimeout = 2 * time.Second
+	noticeCheck   = 500 * time.Millisecond
+	// changePatience is the time that a change may take beyond the collection of changes.
+	changePatience = 700 * time.Millisecond
 )
 
 // Instance is what an instance tells the others of itself.
@@ -125,6 +131,22 @@
 	leaderRevision uint64
 	targets        map[string]*directory.Target
 	mirrorRevision uint64
+	// seen is the revision up to which the mirror is known.
+	seen    uint64
+	noticed time.Time
+	// wanted is the newest revision that a notice named, and behindSince when it was first found to be newer than seen.
+	wanted      uint64
+	behindSince time.Time
+}
+
+// Notice is what the leader tells the others once in a while and after each change. It reaches instances whose calls of the store
+// wait without hearing of changes.
+type Notice struct {
+	// Leader is the revision of the leader's key.
+	Leader uint64
+	// Version is the configuration in force at the leader, Mirror the revision of its last change of the mirror.
+	Version uint64
+	Mirror  uint64
 }
 
 // View is what is known of the fleet.
@@ -226,16 +248,76 @@
 // Behind makes the keeper read everything again if revision is newer than what it knows, because a peer has it.
 func (f *Fleet) Behind(revision uint64) {
 	f.mu.Lock()
-	behind := f.known && revision > f.mirrorRevision
+	behind := f.known && revision > f.seen
 	f.mu.Unlock()
 	if behind {
+		f.refresh()
+	}
+}
+
+// Noticed takes a notice of the leader.
+func (f *Fleet) Noticed(n Notice) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noticed = f.timers.Now()
+	f.wanted = max(n.Mirror, n.Leader)
+}
+
+func (f *Fleet) refresh() {
+	select {
+	case f.again <- struct{}{}:
+	default:
+	}
+}
+
+// Watch reads the store again if there are no notices of the leader, or if a change that it told of does not come, until ctx ends. A
+// call that waits may never hear of a change.
+func (f *Fleet) Watch(ctx context.Context) error {
+	ticks := f.timers.Subscribe(noticeCheck)
+	defer ticks.Stop()
+	for {
 		select {
-		case f.again <- struct{}{}:
-		default:
+		case now := <-ticks.C:
+			if f.missed(now) {
+				f.refresh()
+			}
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 	}
 }
 
+// missed reports whether the store has to be read again.
+func (f *Fleet) missed(now time.Time) bool {
+	patience := f.settle() + changePatience
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case !f.known || f.leader.Name == f.self.Name:
+		f.noticed, f.behindSince = now, time.Time{}
+
+		return false
+	case now.Sub(f.noticed) > noticeTimeout:
+		f.noticed = now
+
+		return true
+	case f.wanted <= max(f.seen, f.leaderRevision):
+		f.behindSince = time.Time{}
+
+		return false
+	case f.behindSince.IsZero():
+		f.behindSince = now
+
+		return false
+	case now.Sub(f.behindSince) > patience:
+		f.behindSince = now
+
+		return true
+	default:
+		return false
+	}
+}
+
 // Run keeps the view until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	backoff := newBackoff(f.timers)
@@ -295,6 +377,7 @@
 		f.apply(&entries[i])
 	}
 	f.revision, f.known = revision, true
+	f.seen = max(f.seen, revision)
 	f.mu.Unlock()
 	f.notify()
 
@@ -385,6 +468,7 @@
 	case strings.HasPrefix(e.Key, mirrorPrefix):
 		id := strings.TrimPrefix(e.Key, mirrorPrefix)
 		f.mirrorRevision = max(f.mirrorRevision, e.Revision)
+		f.seen = max(f.seen, e.Revision)
 		delete(f.targets, id)
 		var m mirrored
 		if !e.Gone && json.Unmarshal(e.Value, &m) == nil {
--- a/internal/tier/control/lead.go
+++ b/internal/tier/control/lead.go
@@ -17,6 +17,8 @@
 	leaderTTL = 1500 * time.Millisecond
 	// leadPeriod is the time between two reads of the targets' entries by the leader.
 	leadPeriod = 500 * time.Millisecond
+	// noticeTurns is the number of periods between two notices, and between two reads of the configuration by the leader.
+	noticeTurns = 2
 	// rankDelay is the pause between the tries of two instances to lead. It is longer than a change needs to reach all.
 	rankDelay = 25 * time.Millisecond
 	// mirrorGrace is how long an instance waits for the mirror of a new leader before it reads the entries itself.
@@ -39,15 +41,50 @@
 	log     *event.Log
 	period  time.Duration
 	started time.Time
+	check   func(ctx context.Context) error
+	version func() uint64
+	notify  func(ctx context.Context, n Notice)
+}
+
+// LeadershipOption configures a Leadership.
+type LeadershipOption func(*Leadership)
+
+// WithConfiguration makes a leader read the configuration as well, and tell its version in its notices.
+func WithConfiguration(c *Configuration) LeadershipOption {
+	return func(l *Leadership) {
+		l.check = c.Check
+		l.version = func() uint64 {
+			if t := c.Current(); t != nil {
+				return t.Version()
+			}
+
+			return 0
+		}
+	}
+}
+
+// WithNotify sets the function by which a leader sends notices to the other instances. It must not block for longer than the
+// period of the leader.
+func WithNotify(notify func(ctx context.Context, n Notice)) LeadershipOption {
+	return func(l *Leadership) { l.notify = notify }
 }
 
 // NewLeadership returns the part of an instance that leads or follows. The period is that of reads without a leader.
 func NewLeadership(
 	fleet *Fleet, targets *Targets, store OwnStore, timers *timer.Service, period time.Duration, log *event.Log,
+	options ...LeadershipOption,
 ) *Leadership {
-	return &Leadership{
+	l := &Leadership{
 		fleet: fleet, targets: targets, store: store, timers: timers, log: log, period: period, started: timers.Now(),
+		check:   func(context.Context) error { return nil },
+		version: func() uint64 { return 0 },
+		notify:  func(context.Context, Notice) {},
 	}
+	for _, option := range options {
+		option(l)
+	}
+
+	return l
 }
 
 // Run leads or follows until ctx ends.
@@ -139,6 +176,7 @@
 	ticks := l.timers.Subscribe(leadPeriod)
 	defer ticks.Stop()
 	for {
+		t.tell(ctx)
 		select {
 		case <-ticks.C:
 		case <-ctx.Done():
@@ -147,6 +185,12 @@
 		if err := t.renew(ctx); err != nil {
 			return err
 		}
+		t.turn++
+		if t.turn%noticeTurns == 0 {
+			if err := l.check(ctx); err != nil {
+				l.log.Log(event.StoreUnavailable, "Part", "Leader", "Error", err)
+			}
+		}
 		if err := l.targets.Read(ctx); err != nil {
 			// The lease is not renewed for another period if the store does not answer, so that another instance may lead.
 			l.log.Log(event.StoreUnavailable, "Part", "Leader", "Error", err)
@@ -164,10 +208,25 @@
 	*Leadership
 	lease    Lease
 	revision uint64
+	// mirrored is the revision of the last change of the mirror, told what the last notice said, in the given turn.
+	mirrored uint64
+	told     Notice
+	toldTurn int
+	turn     int
 	// written is the mirror as this term knows it.
 	written map[string]mirrored
 }
 
+// tell sends a notice if something has changed, and once in noticeTurns in any case.
+func (t *term) tell(ctx context.Context) {
+	n := Notice{Leader: t.revision, Version: t.version(), Mirror: t.mirrored}
+	if n == t.told && t.turn-t.toldTurn < noticeTurns {
+		return
+	}
+	t.told, t.toldTurn = n, t.turn
+	t.notify(ctx, n)
+}
+
 func (t *term) call(ctx context.Context, f func(ctx context.Context) error) error {
 	ctx, cancel := t.timers.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -239,7 +298,10 @@
 	flush := func() error {
 		changes.Expect = map[string]uint64{leaderKey: t.revision}
 		commit := func(ctx context.Context) error {
-			_, err := t.store.Commit(ctx, changes)
+			revision, err := t.store.Commit(ctx, changes)
+			if err == nil {
+				t.mirrored = revision
+			}
 
 			return err
 		}
--- a/internal/tier/node/fleet.go
+++ b/internal/tier/node/fleet.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
 	"github.com/hickorynotch/hickorynotch/internal/tier/peer"
@@ -17,6 +19,8 @@
 	assumedInstances = 11
 	// spareGatherers is the number of gatherers that may be added before the connections are shared anew.
 	spareGatherers = 1
+	// maxNotices bounds the notices that are sent at a time.
+	maxNotices = 32
 	// spareInstances is the number of instances that may start before the allowance is shared anew.
 	spareInstances = 3
 	// gathererAllowance is the part of the allowance of a shard's service that its gatherers share.
@@ -118,16 +122,16 @@
 
 // register keeps this instance registered until it stops.
 func (n *Node) register(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	registered, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		select {
 		case <-n.stopBegan:
 			cancel()
-		case <-ctx.Done():
+		case <-registered.Done():
 		}
 	}()
-	err := n.members.Register(ctx)
+	err := n.members.Register(registered)
 	select {
 	case <-n.stopBegan:
 		// A supervisor would start the registration again.
@@ -174,3 +178,28 @@
 
 	return nil, peer.OtherVersion, version
 }
+
+// noticed takes a notice of the leader.
+func (n *Node) noticed(notice control.Notice) {
+	n.members.Noticed(notice)
+	n.configuration.Behind(notice.Version)
+}
+
+// notify sends a notice of this instance, which leads, to all others.
+func (n *Node) notify(ctx context.Context, notice control.Notice) {
+	slots := make(chan struct{}, maxNotices)
+	var sending sync.WaitGroup
+	for _, i := range n.members.View().Instances {
+		if i.Name == n.settings.Name {
+			continue
+		}
+		slots <- struct{}{}
+		sending.Go(func() {
+			defer func() { <-slots }()
+			if err := n.peers.Notice(ctx, i.Peer, notice); err != nil {
+				n.log.Log(event.NoticeFailed, "Instance", i.Name, "Error", err)
+			}
+		})
+	}
+	sending.Wait()
+}
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -137,9 +137,10 @@
 		control.WithSettle(settings.ApplyBound/settleShare))
 	n.handover = handover.New(self, place, n.peers, timers, n.dispatcher.Gather, handover.WithLog(n.log),
 		handover.OnNewer(func(uint64) { n.configuration.Refresh() }), handover.OnChanged(n.members.Behind))
-	n.peerServer = peer.NewServer(n.prepare, n.dispatcher.Gather, n.members.Revision, timers, n.log)
+	n.peerServer = peer.NewServer(n.prepare, n.dispatcher.Gather, n.members.Revision, n.noticed, timers, n.log)
 	n.targets = control.NewTargets(adapters.Directory, timers, n.adopt, control.WithTargetsLog(n.log))
-	n.leadership = control.NewLeadership(n.members, n.targets, adapters.Own, timers, targetPeriod, n.log)
+	n.leadership = control.NewLeadership(n.members, n.targets, adapters.Own, timers, targetPeriod, n.log,
+		control.WithConfiguration(n.configuration), control.WithNotify(n.notify))
 	n.handler = caller.NewHandler(adapters.Callers, n.configuration.Current,
 		caller.Dispatch{Gather: n.handover.Gather, Forward: n.dispatcher.Forward}, timers,
 		caller.WithLog(n.log), caller.WithMetrics(n.metrics))
@@ -216,6 +217,7 @@
 	})
 	supervisor.Add(service{"configuration", n.configuration.Run})
 	supervisor.Add(service{"fleet", n.members.Run})
+	supervisor.Add(service{"notices", n.members.Watch})
 	supervisor.Add(service{"targets", n.leadership.Run})
 	supervisor.Add(service{"registration", n.register})
 	supervisor.Add(service{"connections", func(ctx context.Context) error { return n.fleet.Warm(ctx, n.gathers) }})
--- a/internal/tier/node/node_test.go
+++ b/internal/tier/node/node_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/standin/memory"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/node"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
@@ -104,7 +105,7 @@
 		Directory: control.TargetSource{List: func(context.Context) (control.Listed, error) {
 			return control.Listed{Targets: targets}, nil
 		}},
-		Own: newMemory().store(),
+		Own: memory.New(timer.New()).Own(),
 	}, timer.New())
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcmanager"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
 )
 
@@ -20,6 +21,8 @@
 	maxIdle = 6
 	// idleTime is how long an idle connection is kept.
 	idleTime = 15 * time.Second
+	// noticeTimeout bounds a notice, with the opening of a connection to another region.
+	noticeTimeout = 300 * time.Millisecond
 	// softCancelGrace is the time for which the end of a query waits for a message that is being sent.
 	softCancelGrace = 5 * time.Millisecond
 )
@@ -179,6 +182,25 @@
 	}
 }
 
+// Notice sends a notice of the leader to the peer at address.
+func (c *Client) Notice(ctx context.Context, address netip.AddrPort, n control.Notice) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	ctx, cancel := c.timers.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	l, err := c.take(ctx, address)
+	if err != nil {
+		return err
+	}
+	err = l.conn.Invoke(ctx, rpcNotice, encoding{}, &NoticeRequest{Leader: n.Leader, Version: n.Version, Mirror: n.Mirror}, &NoticeTaken{})
+	if err != nil {
+		err = errors.Join(ErrNotAccepted, err)
+	}
+	c.put(address, l, err)
+
+	return err
+}
+
 // take returns an idle connection or opens one.
 func (c *Client) take(ctx context.Context, address netip.AddrPort) (*link, error) {
 	c.mu.Lock()
--- a/internal/tier/peer/message.go
+++ b/internal/tier/peer/message.go
@@ -24,8 +24,11 @@
 // Error is the class of the errors of this package.
 var Error = errs.Class("peer")
 
-// rpcGather is the name of the call.
-const rpcGather = "/hickorynotch.Tier/Gather"
+// The names of the calls.
+const (
+	rpcGather = "/hickorynotch.Tier/Gather"
+	rpcNotice = "/hickorynotch.Tier/Notice"
+)
 
 const (
 	// maxHead bounds the request line and headers of a query, as the servers for callers do.
@@ -88,6 +91,19 @@
 	Active int
 }
 
+// NoticeRequest carries a notice of the leader.
+type NoticeRequest struct {
+	_       struct{} `cbor:",toarray"`
+	Leader  uint64
+	Version uint64
+	Mirror  uint64
+}
+
+// NoticeTaken answers a NoticeRequest.
+type NoticeTaken struct {
+	_ struct{} `cbor:",toarray"`
+}
+
 // Check implements checked.
 func (a *GatherAccepted) Check() error {
 	if a.Active < 0 {
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
 )
 
@@ -29,17 +30,19 @@
 	prepare Prepare
 	gather  func(ctx context.Context, q *dispatch.Query) dispatch.Answer
 	mirror  func() uint64
+	noticed func(control.Notice)
 	timers  *timer.Service
 	log     *event.Log
 	active  atomic.Int64
 }
 
-// NewServer returns a Server that gathers by the given functions. Mirror returns the newest revision of the targets' mirror.
+// NewServer returns a Server that gathers by the given functions. Mirror returns the newest revision of the targets' mirror, and
+// noticed takes the notices of the leader.
 func NewServer(
 	prepare Prepare, gather func(ctx context.Context, q *dispatch.Query) dispatch.Answer, mirror func() uint64,
-	timers *timer.Service, log *event.Log,
+	noticed func(control.Notice), timers *timer.Service, log *event.Log,
 ) *Server {
-	return &Server{prepare: prepare, gather: gather, mirror: mirror, timers: timers, log: log}
+	return &Server{prepare: prepare, gather: gather, mirror: mirror, noticed: noticed, timers: timers, log: log}
 }
 
 // Active returns the number of queries that are gathered for peers.
@@ -54,9 +57,27 @@
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 
-	if rpc != rpcGather {
+	switch rpc {
+	case rpcGather:
+		return s.handleGather(stream)
+	case rpcNotice:
+		return s.handleNotice(stream)
+	default:
 		return drpc.ProtocolError.New("call %q is not known", rpc)
 	}
+}
+
+func (s *Server) handleNotice(stream drpc.Stream) error {
+	var request NoticeRequest
+	if err := stream.MsgRecv(&request, encoding{}); err != nil {
+		return err
+	}
+	s.noticed(control.Notice{Leader: request.Leader, Version: request.Version, Mirror: request.Mirror})
+
+	return stream.MsgSend(&NoticeTaken{}, encoding{})
+}
+
+func (s *Server) handleGather(stream drpc.Stream) error {
 	var request GatherRequest
 	if err := stream.MsgRecv(&request, encoding{}); err != nil {
 		return err
