Send no third replica after a lost gatherer

A gatherer that was lost after it took a query may have used as many replicas as the route allows, and the instance that asked sent the shards to one more.

Change: such shards are sent again only where the service has no more replicas than the route allows attempts. A connection that did not open has carried no query. A peer's connection is reset when it fails, which discards bytes held up by a network partition. The new test of dispatch fails without the rule.

--- a/internal/tier/dispatch/dispatch_test.go
+++ b/internal/tier/dispatch/dispatch_test.go
@@ -257,6 +257,21 @@
 		Expect(backends[1].arrived.Load()).To(BeZero())
 	})
 
+	It("are not sent again where a lost peer may have used other replicas, because the route bounds their number", func() {
+		backends := []*backend{
+			newBackend("s1", "a", part("p1", "x")), newBackend("s3", "c", part("p3", "z")),
+			newBackend("s2", "b1", part("p2", "y")), newBackend("s2", "b2", part("p2", "y")), newBackend("s2", "b3", part("p2", "y")),
+		}
+		s := group(func(context.Context, func(dispatch.Answer)) (dispatch.Answer, error) {
+			return dispatch.Answer{}, dispatch.ErrMayHaveRun
+		})
+		answer := dispatcher(s, backends...).Gather(context.Background(), query(gatherRoute(0.3, "s1", "s2", "s3")))
+		Expect(answer.Stamps).To(Equal([]string{"p1", "p3"}))
+		for _, b := range backends[2:] {
+			Expect(b.arrived.Load()).To(BeZero())
+		}
+	})
+
 	It("give the parts at hand first and the others later, without a third replica", func() {
 		b := newBackend("s2", "b", part("p2", "y"))
 		d := dispatcher(group(func(_ context.Context, early func(dispatch.Answer)) (dispatch.Answer, error) {
--- a/internal/tier/dispatch/flight.go
+++ b/internal/tier/dispatch/flight.go
@@ -108,9 +108,7 @@
 			continue
 		}
 		f.d.ledger.Earn(now, f.jobs[i].service)
-		if f.query.Extra && !f.d.ledger.Spend(now, f.jobs[i].service) {
-			f.answer.Denied++
-			f.jobs[i].ran = true
+		if f.query.Extra && !f.mayRepeat(&f.jobs[i], now) {
 			f.fail(&f.jobs[i])
 
 			continue
@@ -201,6 +199,23 @@
 	return f.query.Route.MaxAttempts
 }
 
+// mayRepeat reports whether a job that a lost gatherer may have sent can be sent once more: the budget allows it, and whichever
+// replicas the gatherer chose, the route allows as many.
+func (f *flight) mayRepeat(j *job, now time.Time) bool {
+	j.ran = true
+	f.links = f.d.fleet.Links(f.links[:0], j.service)
+	if len(f.links) > f.query.Route.MaxAttempts {
+		return false
+	}
+	if !f.d.ledger.Spend(now, j.service) {
+		f.answer.Denied++
+
+		return false
+	}
+
+	return true
+}
+
 func (j *job) used(l *target.Link) bool {
 	for _, a := range j.attempts {
 		if a.link == l {
--- a/internal/tier/dispatch/group.go
+++ b/internal/tier/dispatch/group.go
@@ -65,7 +65,6 @@
 		j.waiting--
 		switch {
 		case failed && errors.Is(e.err, ErrMayHaveRun):
-			j.ran = true
 			f.repeat(i, now)
 		case failed:
 			f.d.ledger.Earn(now, j.service)
@@ -81,10 +80,9 @@
 // repeat sends a job that a lost peer may have sent already.
 func (f *flight) repeat(i int, now time.Time) {
 	j := &f.jobs[i]
-	// The first request for the shard was the peer's, so this instance's is an extra one that the budget has to allow.
+	// The first request for the shard was the peer's, so this instance's is an extra one.
 	f.d.ledger.Earn(now, j.service)
-	if !f.d.ledger.Spend(now, j.service) {
-		f.answer.Denied++
+	if !f.mayRepeat(j, now) {
 		f.fail(j)
 
 		return
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -30,7 +30,7 @@
 // Errors of Gather that leave the query free to be gathered elsewhere.
 var (
 	// ErrNotAccepted means that the peer did not take the query in time. It may still gather it.
-	ErrNotAccepted = errors.New("the peer did not accept the query in time")
+	ErrNotAccepted = errors.New("the peer did not accept the query that was sent to it")
 	// ErrDeclined means that the peer does not gather the query.
 	ErrDeclined = errors.New("the peer declined the query")
 	// ErrLost means that the connection to the peer broke after it had accepted the query.
@@ -49,6 +49,7 @@
 // link is a connection to a peer. It carries one call at a time.
 type link struct {
 	conn   *drpcconn.Conn
+	inner  net.Conn
 	usedAt time.Time
 	reused bool
 }
@@ -111,21 +112,13 @@
 
 	started := c.timers.Now()
 	// The bound covers the opening of a connection as well.
-	var late bool
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var mu sync.Mutex
-	stop := c.timers.AfterFunc(acceptBound, func() {
-		mu.Lock()
-		late = true
-		mu.Unlock()
-		cancel()
-	})
+	stop := c.timers.AfterFunc(acceptBound, cancel)
 	defer stop()
+	sent := false
 	accepted := func(err error) error {
-		mu.Lock()
-		defer mu.Unlock()
-		if late && ctx.Err() == nil {
+		if sent && ctx.Err() == nil {
 			return errors.Join(ErrNotAccepted, err)
 		}
 
@@ -150,6 +143,7 @@
 	opened := c.timers.Since(started)
 	request.Elapsed += opened
 	request.Left -= opened
+	sent = true
 	if err = stream.MsgSend(request, encoding{}); err != nil {
 		return reply, accepted(err)
 	}
@@ -225,11 +219,20 @@
 		return nil, err
 	}
 
-	return &link{conn: drpcconn.NewWithOptions(inner, drpcconn.Options{
+	return &link{inner: inner, conn: drpcconn.NewWithOptions(inner, drpcconn.Options{
 		Manager: drpcmanager.Options{SoftCancel: true, SoftCancelGrace: softCancelGrace},
 	})}, nil
 }
 
+// reset closes the connection so that bytes that the peer has not received are discarded. After a network partition they would
+// otherwise reach it as a query that nobody waits for.
+func (l *link) reset() {
+	if tcp, ok := l.inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = l.conn.Close()
+}
+
 // put keeps the connection after a call that ended well, was declined, or was cancelled after the peer had accepted it. Any other
 // end leaves the state of the connection in doubt, and a peer that does not answer that of the other idle connections to it.
 func (c *Client) put(address netip.AddrPort, l *link, err error) {
@@ -247,7 +250,7 @@
 
 		return
 	}
-	_ = l.conn.Close()
+	l.reset()
 	if errors.Is(err, ErrNotAccepted) {
 		for _, other := range c.idle[address] {
 			_ = other.conn.Close()
