Soak the gateway as processes under random faults

Stand-ins for the store and the targets speak the platform's protocol; a soak runs four gateways against them, harms them by a schedule from a seed, and checks what callers and targets saw: run at most once, not run is true, right and whole answers of one index, no step back, planned stops that cut nothing, answers in time, drained targets without work, recovery.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build test lint format tools clean demo prove processes
+.PHONY: build test lint format tools clean demo prove processes soak soak-many soak-short
 .PHONY: bench bench-short bench-limits bench-control
 
 build:
@@ -53,3 +53,16 @@
 
 clean:
 	rm -rf $(BIN)
+
+# The fault soak: make soak SEED=7 plays one seed, make soak-many fifty, make soak-short what CI plays.
+SEED ?= 1
+SOAK_TIME ?= 15s
+
+soak: build
+	$(BIN)/soak -program $(BIN)/hickorynotch -seed $(SEED) -duration $(SOAK_TIME)
+
+soak-many: build
+	$(BIN)/soak -program $(BIN)/hickorynotch -seed $(SEED) -seeds 50 -duration $(SOAK_TIME)
+
+soak-short: build
+	$(BIN)/soak -program $(BIN)/hickorynotch -seed 1 -seeds 2 -duration 10s
--- /dev/null
+++ b/internal/proof/soak/fault.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"syscall"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/standin/replica"
+	"github.com/hickorynotch/hickorynotch/internal/standin/store"
+)
+
+// pick returns a random element.
+func pick[T any](r *run, of []T) T { return of[r.random.IntN(len(of))] }
+
+// within returns a random time of the given range in milliseconds.
+func (r *run) within(low, high int) time.Duration {
+	return time.Duration(low+r.random.IntN(high-low)) * time.Millisecond
+}
+
+// step harms the system in one way, or changes it as operators do.
+func (r *run) step() {
+	steps := []func(){
+		r.configure, r.configure, r.reshard, r.terminate, r.terminate, r.reload, r.kill, r.pauseInstance, r.storeFault, r.cutStore,
+		r.targetFault, r.targetFault, r.targetPath, r.drain, r.forget, r.herd,
+	}
+	pick(r, steps)()
+}
+
+// harm notes that the store or an instance is harmed for some time.
+func (r *run) harm(d time.Duration) {
+	if until := time.Now().Add(d + reach); until.After(r.unsettled) {
+		r.unsettled = until
+	}
+}
+
+func (r *run) configure() {
+	r.world.configure()
+	r.print("configuration %d", r.world.configuration)
+}
+
+func (r *run) reshard() {
+	r.world.index = 1 - r.world.index
+	r.world.configure()
+	r.print("configuration %d, index %d", r.world.configuration, r.world.index)
+}
+
+func (r *run) terminate() {
+	i := pick(r, r.instances)
+	r.print("terminate %s", i.settings)
+	r.harm(stopTimeout)
+	i.terminate()
+}
+
+func (r *run) reload() {
+	i := pick(r, r.instances)
+	r.print("reload %s", i.settings)
+	i.signal(syscall.SIGHUP)
+}
+
+func (r *run) kill() {
+	i := pick(r, r.instances)
+	r.harm(0)
+	r.print("kill %s", i.settings)
+	i.signal(syscall.SIGKILL)
+}
+
+// herd kills several instances at once, sometimes right after a change.
+func (r *run) herd() {
+	r.harm(0)
+	if r.random.IntN(2) == 0 {
+		r.world.configure()
+	}
+	r.print("kill all but one, configuration %d", r.world.configuration)
+	spared := r.random.IntN(len(r.instances))
+	for n, i := range r.instances {
+		if n != spared {
+			i.signal(syscall.SIGKILL)
+		}
+	}
+}
+
+func (r *run) pauseInstance() {
+	i, d := pick(r, r.instances), r.within(300, 4000)
+	r.print("pause %s for %v", i.settings, d)
+	r.harm(d)
+	i.signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { i.signal(syscall.SIGCONT) })
+}
+
+func (r *run) storeFault() {
+	f, d := pick(r, []store.Fault{store.Busy, store.Silent, store.Slow, store.Lost, store.Deaf}), r.within(500, 4000)
+	r.print("store %s for %v", f, d)
+	r.harm(d)
+	r.world.store.SetFault(f)
+	time.AfterFunc(d, func() { r.world.store.SetFault(store.None) })
+}
+
+func (r *run) forget() {
+	r.harm(0)
+	r.print("the store forgets its history")
+	r.world.memory.Forget()
+}
+
+func (r *run) cutStore() {
+	i, mode, d := pick(r, r.instances), pick(r, []Mode{Silence, Reset, OneWay, Delay}), r.within(500, 4000)
+	r.print("store of %s: %s for %v", i.settings, mode, d)
+	i.harm()
+	r.harm(d)
+	i.store.set(mode)
+	time.AfterFunc(d, func() { i.store.set(Pass) })
+}
+
+func (r *run) targetFault() {
+	m := pick(r, r.world.targets)
+	f := pick(r, []replica.Fault{replica.LoseAnswers, replica.Hang, replica.Shed, replica.Fail, replica.Twice})
+	d := r.within(500, 3000)
+	r.print("target %s %s: %s for %v", m.replica.Service, m.replica.ID, f, d)
+	m.replica.SetFault(f)
+	time.AfterFunc(d, func() { m.replica.SetFault(replica.None) })
+}
+
+func (r *run) targetPath() {
+	m, mode, d := pick(r, r.world.targets), pick(r, []Mode{Silence, Reset, OneWay, Delay}), r.within(300, 3000)
+	r.print("path of target %s %s: %s for %v", m.replica.Service, m.replica.ID, mode, d)
+	m.proxy.set(mode)
+	time.AfterFunc(d, func() { m.proxy.set(Pass) })
+}
+
+// drain lets a target leave. A new one of its service starts first, and later another service takes its address.
+func (r *run) drain() {
+	m := pick(r, r.world.targets)
+	if m.draining || m.gone {
+		return
+	}
+	if err := r.world.add(m.replica.Service, m.zone); err != nil {
+		r.judge.breaks("the soak could not start a target: %v", err)
+
+		return
+	}
+	r.print("target %s %s drains", m.replica.Service, m.replica.ID)
+	m.draining = true
+	r.world.register(m)
+	r.drained[m] = time.Now()
+}
+
+// checkDrained looks for requests at targets that should get none any more, and then removes these.
+func (r *run) checkDrained() {
+	for m, at := range r.drained {
+		if time.Since(at) < 2*drainBound {
+			continue
+		}
+		delete(r.drained, m)
+		if last := m.replica.LastRun(); r.unsettled.Before(at) && last.Sub(at) > drainBound+drainSlack {
+			r.judge.breaks("%s ran a request %v after it had said that it leaves", m.replica.ID, last.Sub(at))
+		}
+		m.gone = true
+		r.world.memory.Delete("servers/" + m.replica.ID)
+		other := pick(r, r.world.targets)
+		m.proxy.retarget(other.proxy.address())
+		r.print("target %s %s is gone, its address leads to %s", m.replica.Service, m.replica.ID, other.replica.ID)
+	}
+}
--- a/internal/standin/memory/memory.go
+++ b/internal/standin/memory/memory.go
@@ -30,11 +30,13 @@
 	away     bool
 	deaf     bool
 	revision uint64
-	granted  control.Lease
-	entries  map[string]control.Entry
-	leases   map[control.Lease]*lease
-	history  []control.Entry
-	changed  chan struct{}
+	// forgotten is the revision up to which the history was discarded.
+	forgotten uint64
+	granted   control.Lease
+	entries   map[string]control.Entry
+	leases    map[control.Lease]*lease
+	history   []control.Entry
+	changed   chan struct{}
 }
 
 type lease struct {
@@ -70,6 +72,35 @@
 	s.deaf = deaf
 }
 
+// Put writes a key for good, as an operator or a target does, and returns its revision.
+func (s *Store) Put(key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e := control.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = e
+	s.history = append(s.history, e)
+	s.wake()
+
+	return s.revision
+}
+
+// Delete removes a key.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove([]string{key})
+}
+
+// Forget discards the history. Waits from before it then end with control.ErrForgotten.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.revision
+	s.wake()
+}
+
 // wake ends the waits. The lock is held.
 func (s *Store) wake() {
 	close(s.changed)
@@ -127,6 +158,11 @@
 
 			return nil, 0, errAway
 		}
+		if after < s.forgotten {
+			s.mu.Unlock()
+
+			return nil, 0, control.ErrForgotten
+		}
 		s.expire()
 		var changes []control.Entry
 		for _, e := range s.history {
