--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -14,6 +14,13 @@
 )
 
 func main() {
+	if !play() {
+		os.Exit(1)
+	}
+}
+
+// play runs the seeds and reports whether all passed.
+func play() bool {
 	program := flag.String("program", ".bin/hickorynotch", "path of the product")
 	seed := flag.Uint64("seed", 1, "first seed")
 	seeds := flag.Uint64("seeds", 1, "number of seeds, one run each")
@@ -36,7 +43,6 @@
 		_ = os.RemoveAll(logs)
 	}
 	fmt.Printf("soak: %d passed, %d failed\n", *seeds-uint64(failed), failed)
-	if failed > 0 {
-		os.Exit(1)
-	}
+
+	return failed == 0
 }
--- a/internal/proof/soak/proxy.go
+++ b/internal/proof/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -126,10 +127,9 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
+			if errors.Is(err, io.EOF) {
+				p.hold(answers)
 			}
-			p.hold(answers)
 
 			return
 		}
