Do not send the shards of a subset afresh after its peer timed out

Change: a subset is answered with the parts at hand when its time is over, and an answer without stamps counts as sent. Two tests fail without the change.

--- a/internal/tier/dispatch/dispatch_test.go
+++ b/internal/tier/dispatch/dispatch_test.go
@@ -272,6 +272,28 @@
 		}
 	})
 
+	It("are not sent afresh when a peer ended without stamps, because it has sent them", func() {
+		b := newBackend("s2", "b", part("p2", "y"))
+		s := group(func(context.Context, func(dispatch.Answer)) (dispatch.Answer, error) {
+			return dispatch.Answer{Status: dispatch.TimedOut, Reason: "Deadline"}, nil
+		})
+		s.allowance = 0
+		answer := dispatcher(s, newBackend("s1", "a", part("p1", "x")), b).
+			Gather(context.Background(), query(gatherRoute(0.3, "s1", "s2", "s3")))
+		Expect(answer.Stamps).To(Equal([]string{"p1"}))
+		Expect(b.arrived.Load()).To(BeZero())
+	})
+
+	It("are answered with the parts at hand when their time is over", func() {
+		r := gatherRoute(1, "s1", "s2")
+		q := query(r)
+		q.Shards, q.Deadline, q.Elapsed = r.Gather.Shards, q.Received.Add(200*time.Millisecond), time.Second
+		d := dispatcher(setup{}, newBackend("s1", "a", part("p1", "x")), newBackend("s2", "b", hang))
+		answer := d.Gather(context.Background(), q)
+		Expect(answer.Status).To(Equal(dispatch.Answered))
+		Expect(answer.Stamps).To(Equal([]string{"p1", ""}))
+	})
+
 	It("give the parts at hand first and the others later, without a third replica", func() {
 		b := newBackend("s2", "b", part("p2", "y"))
 		d := dispatcher(group(func(_ context.Context, early func(dispatch.Answer)) (dispatch.Answer, error) {
--- a/internal/tier/dispatch/flight.go
+++ b/internal/tier/dispatch/flight.go
@@ -132,6 +132,12 @@
 		case <-f.d.timers.After(wait):
 			f.hedge(f.d.timers.Now())
 		case <-timeout:
+			if f.subset {
+				f.merge()
+
+				return f.end(Answered, "Deadline")
+			}
+
 			return f.end(TimedOut, "Deadline")
 		case <-ctx.Done():
 			return f.end(Abandoned, "CallerLeft")
--- a/internal/tier/dispatch/group.go
+++ b/internal/tier/dispatch/group.go
@@ -64,7 +64,8 @@
 		}
 		j.waiting--
 		switch {
-		case failed && errors.Is(e.err, ErrMayHaveRun):
+		case failed && (e.err == nil || errors.Is(e.err, ErrMayHaveRun)):
+			// A peer that answered without the parts has sent them to targets as well.
 			f.repeat(i, now)
 		case failed:
 			f.d.ledger.Earn(now, j.service)
