Try a failing store with one call at a time, and start from the mirror

After all instances had lost power the new leader removed targets from the mirror whose entries had lapsed with the store (392 requests refused for want of targets).

Change: calls go through a gate that lets one at a time try a store that fails; an instance starts with the targets of the mirror and keeps those that are not listed for 2.3 s. Many changes of targets are logged in one line.

--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -34,20 +36,28 @@
 	unplanned time.Time
 }
 
+// firstPort and portRange are below the ports that the system gives to connections, so that no connection takes the port of an
+// instance between two of its starts.
+const (
+	firstPort = 20000
+	portRange = 12000
+)
+
+// freePorts returns ports that nothing listens on.
 func freePorts(n int) (out []netip.AddrPort, err error) {
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n && tries < portRange; tries++ {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(portRange)))
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address.String())
 		if err != nil {
+			continue
+		}
+		out = append(out, address)
+		if err := l.Close(); err != nil {
 			return nil, err
 		}
-		listeners = append(listeners, l)
-		out = append(out, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	if len(out) < n {
+		return nil, errors.New("no free ports")
 	}
 
 	return out, nil
--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -14,6 +14,7 @@
 	LinesDropped = declare(1012, "LinesDropped", Warning, "Log lines were dropped because the output did not take them.")
 
 	TargetFound     = declare(4010, "TargetFound", Info, "A target was registered.")
+	TargetsChanged  = declare(4016, "TargetsChanged", Info, "Many targets were registered or are gone; they have no lines of their own.")
 	TargetGone      = declare(4011, "TargetGone", Info, "The entry of a target is gone; the target gets no new requests.")
 	TargetChanged   = declare(4012, "TargetChanged", Info, "The entry of a target changed its state.")
 	TargetMoved     = declare(4013, "TargetMoved", Warning, "Another process answers at the address of a target.")
--- a/internal/tier/control/control_test.go
+++ b/internal/tier/control/control_test.go
@@ -359,3 +359,26 @@
 		}
 	})
 })
+
+var _ = Describe("Seed", func() {
+	It("keeps what the fleet knew when all instances and the store were away, because entries lapse and come back", func() {
+		var current *directory.Directory
+		r := &registry{}
+		t := control.NewTargets(r.source(), timer.New(), func(d *directory.Directory) { current = d })
+		t.Seed(directory.New([]*directory.Target{target("a")}))
+		r.set(nil)
+		Expect(t.Read(context.Background())).To(Succeed())
+		Expect(current.Len()).To(Equal(1))
+	})
+
+	It("does not bring back targets that this process knows to be gone", func() {
+		var current *directory.Directory
+		r := &registry{}
+		t := control.NewTargets(r.source(), timer.New(), func(d *directory.Directory) { current = d })
+		r.set(nil, target("b"))
+		Expect(t.Read(context.Background())).To(Succeed())
+		t.Seed(directory.New([]*directory.Target{target("a")}))
+		_, ok := current.Target("a")
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -157,6 +157,8 @@
 	LeaderRevision uint64
 	// Targets is the mirror of the targets' entries, nil if no leader vouches for it.
 	Targets *directory.Directory
+	// Mirror is what the mirror holds, whether a leader vouches for it or not.
+	Mirror *directory.Directory
 	// Revision is that of the newest change of the mirror.
 	Revision uint64
 	// Known is false if the view cannot be kept up to date.
@@ -210,8 +212,9 @@
 		Instances: slices.SortedFunc(maps.Values(f.instances), func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) }),
 		Leader:    f.leader.Name, LeaderRevision: f.leaderRevision, Revision: f.mirrorRevision, Known: f.known,
 	}
+	v.Mirror = directory.New(slices.Collect(maps.Values(f.targets)))
 	if f.leader.Name != "" && f.leader.Synced {
-		v.Targets = directory.New(slices.Collect(maps.Values(f.targets)))
+		v.Targets = v.Mirror
 	}
 
 	return v
--- a/internal/tier/control/lead.go
+++ b/internal/tier/control/lead.go
@@ -92,6 +92,9 @@
 	l.await(ctx, mirrorGrace)
 	for ctx.Err() == nil {
 		view := l.fleet.View()
+		if view.Known {
+			l.targets.Seed(view.Mirror)
+		}
 		switch {
 		case view.Known && view.Leader == "":
 			l.campaign(ctx, view)
--- a/internal/tier/control/targets.go
+++ b/internal/tier/control/targets.go
@@ -68,6 +68,16 @@
 	t.adopted(d)
 }
 
+// Seed takes what the fleet knew of the targets before this process started, if nothing is known yet. Targets that are not listed
+// are kept for a while, because entries may have lapsed while all instances and the store were away.
+func (t *Targets) Seed(d *directory.Directory) {
+	if t.current.Len() > 0 || d.Len() == 0 {
+		return
+	}
+	t.returned = t.timers.Now()
+	t.Adopt(d)
+}
+
 // Read lists the entries once and brings them into force.
 func (t *Targets) Read(ctx context.Context) error {
 	err := t.read(ctx)
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -120,6 +120,10 @@
 
 func (n *Node) assemble(adapters Adapters) {
 	settings, timers := n.settings, n.timers
+	gate := control.NewGate(timers, func() bool { return n.configuration.Current() == nil || !n.listed.Load() })
+	adapters.Configurations = gate.Configurations(adapters.Configurations)
+	adapters.Directory = gate.Targets(adapters.Directory)
+	adapters.Own = gate.Own(adapters.Own)
 	place := choice.Place{AvailabilityZone: settings.AvailabilityZone, Region: settings.Region, Regions: settings.Regions}
 	self := control.Instance{
 		Name: settings.Name, Peer: settings.Peer, AvailabilityZone: settings.AvailabilityZone,
@@ -165,7 +169,7 @@
 	defer func() { err = Error.Wrap(err) }()
 
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Memory)))
-	n.log.Log(event.InstanceStarting, "Instance", n.settings.Name, "AvailabilityZone", n.settings.AvailabilityZone,
+	n.log.Log(event.InstanceStarting, "AvailabilityZone", n.settings.AvailabilityZone,
 		"Callers", n.settings.Callers, "Operator", n.settings.Operator, "Peer", n.settings.Peer, "Store", n.settings.Store,
 		"Processor", n.settings.Processor, "LinkBits", n.settings.LinkBits)
 	defer n.fleet.Close()
