--- a/cmd/hickorynotch/gateway.go
+++ b/cmd/hickorynotch/gateway.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log"
+	"net/netip"
 	"os"
 	"os/signal"
 	"reflect"
@@ -34,6 +35,7 @@
 	errors   io.Writer
 	settings *setting.Set
 	path     *string
+	metrics  *int
 }
 
 func newGatewayCommand() *gatewayCommand {
@@ -52,6 +54,7 @@
 func (c *gatewayCommand) SetFlags(flags *flag.FlagSet) {
 	c.settings = setting.New(flags)
 	c.path = c.settings.String("settings", "", "path of the platform's settings file", setting.Required())
+	c.metrics = c.settings.Int("metrics-port", 0, 0, 65535, "port for metrics; 0 for the last port between instances")
 }
 
 func (c *gatewayCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -84,6 +87,9 @@
 	if err != nil {
 		return err
 	}
+	if *c.metrics != 0 {
+		settings.Operator = netip.AddrPortFrom(settings.Operator.Addr(), uint16(*c.metrics))
+	}
 	events = events.With("Instance", settings.Name)
 	log.SetFlags(0)
 	log.SetOutput(events.Writer(event.LibraryMessage))
--- a/internal/tier/caller/caller_test.go
+++ b/internal/tier/caller/caller_test.go
@@ -101,6 +101,30 @@
 		Entry("a request without an ID", "GET", "/g/1", "", true, 400),
 	)
 
+	It("refuses at once beyond its limit, with a time to come back, and asks no target", func() {
+		var h *caller.Handler
+		held := make(chan struct{})
+		give := func(context.Context, *dispatch.Query) dispatch.Answer {
+			<-held
+
+			return dispatch.Answer{Status: dispatch.NotRun}
+		}
+		h = caller.NewHandler(codec, table, caller.Dispatch{Gather: give, Forward: give}, timer.New(), caller.WithLimit(1))
+		first := make(chan int, 1)
+		go func() {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, request("GET", "/g/1", ""))
+			first <- w.Code
+		}()
+		Eventually(h.InFlight).Should(Equal(1))
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, request("GET", "/g/1", ""))
+		Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+		close(held)
+		Eventually(first).Should(Receive(Equal(http.StatusServiceUnavailable)))
+	})
+
 	It("passes method, path, body and headers on unchanged, without those of one connection", func() {
 		r := request("POST", "/f/a%2Fb?q=1", "12345")
 		r.Header.Set("X-Custom", "v")
--- a/internal/tier/caller/handler.go
+++ b/internal/tier/caller/handler.go
@@ -13,12 +13,14 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/admission"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/metric"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
@@ -65,6 +67,8 @@
 	waits    waits
 	closing  atomic.Bool
 	inFlight atomic.Int64
+	// limit is the number of requests that are served at a time.
+	limit int
 }
 
 // Dispatch answers queries.
@@ -86,11 +90,19 @@
 	return func(h *Handler) { h.metrics = metrics }
 }
 
+// WithLimit sets the number of requests that are served at a time.
+func WithLimit(limit int) Option {
+	return func(h *Handler) { h.limit = limit }
+}
+
+// defaultLimit is the number of requests that are served at a time on a whole core.
+var defaultLimit = admission.Limit(1)
+
 // NewHandler returns a Handler that serves by the configuration that current returns.
 func NewHandler(
 	codec Codec, current func() *route.Table, dispatch Dispatch, timers *timer.Service, options ...Option,
 ) *Handler {
-	h := &Handler{codec: codec, current: current, dispatch: dispatch, timers: timers}
+	h := &Handler{codec: codec, current: current, dispatch: dispatch, timers: timers, limit: defaultLimit}
 	for _, option := range options {
 		option(h)
 	}
@@ -130,6 +142,13 @@
 
 		return
 	}
+	verdict := admission.Decide(admission.Facts{InFlight: h.InFlight() - 1, Limit: h.limit, Priority: matched.Priority})
+	if !verdict.Admit {
+		retry := admission.Retry(admission.Refusal{Left: request.TimeLeft}, rand.Float64())
+		h.refuse(w, request, matched.Name, retry, verdict.Reason)
+
+		return
+	}
 	body, err := readBody(w, r, table.Limits().BodyBytes)
 	if err != nil {
 		status := http.StatusBadRequest
--- a/internal/tier/caller/respond.go
+++ b/internal/tier/caller/respond.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/admission"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
@@ -55,7 +57,8 @@
 	case answer.Result != nil && answer.Result.Outcome == target.Answered:
 		return h.pass(w, answer.Result)
 	case answer.Status == dispatch.NotRun:
-		h.codec.SetRetry(w.Header(), answer.Retry)
+		left := q.Deadline.Sub(h.timers.Now())
+		h.codec.SetRetry(w.Header(), admission.Retry(admission.Refusal{Left: left, Shed: answer.Shed}, rand.Float64()))
 
 		return writeText(w, http.StatusServiceUnavailable, answer.Reason)
 	case answer.Status == dispatch.TimedOut:
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -77,8 +77,8 @@
 	Stamps  []string
 	Missing int
 	Records []byte
-	// Retry is the time after which a request that was not run is likely to be served.
-	Retry time.Duration
+	// Shed is set if busy targets refused the request.
+	Shed bool
 	// Attempts, Hedges and Retries count what was sent to targets.
 	Attempts int
 	Hedges   int
--- a/internal/tier/dispatch/flight.go
+++ b/internal/tier/dispatch/flight.go
@@ -292,6 +292,8 @@
 	j.last = &e.result
 	if e.result.Outcome != target.NotRun {
 		j.ran = true
+	} else if e.result.Sent {
+		f.answer.Shed = true
 	}
 	if f.usable(&e.result) {
 		j.done, j.part, j.stamp = true, &e.result, e.result.Reply.Stamp
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/thejerf/suture/v4"
 	"github.com/zeebo/errs"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/admission"
 	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
 	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
@@ -150,7 +151,7 @@
 		control.WithConfiguration(n.configuration), control.WithNotify(n.notify))
 	n.handler = caller.NewHandler(adapters.Callers, n.configuration.Current,
 		caller.Dispatch{Gather: n.handover.Gather, Forward: n.dispatcher.Forward}, timers,
-		caller.WithLog(n.log), caller.WithMetrics(n.metrics))
+		caller.WithLog(n.log), caller.WithMetrics(n.metrics), caller.WithLimit(admission.Limit(settings.Processor)))
 }
 
 // Apply takes settings that were read again. The bounds of extra requests and the time of a stop come into force; addresses and the
--- a/internal/tier/peer/message.go
+++ b/internal/tier/peer/message.go
@@ -122,7 +122,7 @@
 	Stamps   []string
 	Missing  int
 	Records  []byte
-	Retry    time.Duration
+	Shed     bool
 	Attempts int
 	Hedges   int
 	Retries  int
@@ -151,14 +151,14 @@
 
 func newAnswer(a *dispatch.Answer, active int) *GatherAnswer {
 	return &GatherAnswer{
-		Status: a.Status, Reason: a.Reason, Stamps: a.Stamps, Missing: a.Missing, Records: a.Records, Retry: a.Retry,
+		Status: a.Status, Reason: a.Reason, Stamps: a.Stamps, Missing: a.Missing, Records: a.Records, Shed: a.Shed,
 		Attempts: a.Attempts, Hedges: a.Hedges, Retries: a.Retries, Denied: a.Denied, Active: active, Early: a.Early,
 	}
 }
 
 func (a *GatherAnswer) answer() dispatch.Answer {
 	return dispatch.Answer{
-		Status: a.Status, Reason: a.Reason, Stamps: a.Stamps, Missing: a.Missing, Records: a.Records, Retry: a.Retry,
+		Status: a.Status, Reason: a.Reason, Stamps: a.Stamps, Missing: a.Missing, Records: a.Records, Shed: a.Shed,
 		Attempts: a.Attempts, Hedges: a.Hedges, Retries: a.Retries, Denied: a.Denied, Early: a.Early,
 	}
 }
