Do not let a call that waits hold up the tries of a failing store

Cause: while the store failed, a call that waits for changes could take the one try that the gate allows, and the other calls of the instance waited for as long as it did, 8 s on small fleets.

Change: a call that waits is made only once a short one was answered. The new test fails without it.

--- a/internal/tier/control/gate.go
+++ b/internal/tier/control/gate.go
@@ -38,19 +38,20 @@
 	return &Gate{timers: timers, eager: eager, changed: make(chan struct{})}
 }
 
-// enter waits until a call may be made.
-func (g *Gate) enter(ctx context.Context) error {
+// enter waits until a call may be made. A call that waits for a change is not made to try a store that fails, because it would hold
+// up the others for as long as it waits.
+func (g *Gate) enter(ctx context.Context, waits bool) error {
 	for {
 		g.mu.Lock()
 		now := g.timers.Now()
-		if !g.failing || !g.trying && !now.Before(g.until) {
+		if !g.failing || !waits && !g.trying && !now.Before(g.until) {
 			g.trying = g.failing
 			g.mu.Unlock()
 
 			return nil
 		}
 		wait, changed := g.until.Sub(now), g.changed
-		if g.trying {
+		if g.trying || waits {
 			wait = gateMaximum
 		}
 		g.mu.Unlock()
@@ -64,10 +65,12 @@
 }
 
 // leave notes the end of a call.
-func (g *Gate) leave(err error) {
+func (g *Gate) leave(err error, waits bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.trying = false
+	if !waits {
+		g.trying = false
+	}
 	answered := err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) || errors.Is(err, ErrForgotten)
 	switch {
 	case answered:
@@ -88,12 +91,12 @@
 }
 
 // gated makes a call through the gate.
-func gated[T any](ctx context.Context, g *Gate, call func() (T, error)) (result T, err error) {
-	if err := g.enter(ctx); err != nil {
+func gated[T any](ctx context.Context, g *Gate, waits bool, call func() (T, error)) (result T, err error) {
+	if err := g.enter(ctx, waits); err != nil {
 		return result, err
 	}
 	result, err = call()
-	g.leave(err)
+	g.leave(err, waits)
 
 	return result, err
 }
@@ -102,10 +105,10 @@
 func (g *Gate) Configurations(source ConfigurationSource) ConfigurationSource {
 	return ConfigurationSource{
 		Read: func(ctx context.Context) (Stored, error) {
-			return gated(ctx, g, func() (Stored, error) { return source.Read(ctx) })
+			return gated(ctx, g, false, func() (Stored, error) { return source.Read(ctx) })
 		},
 		Wait: func(ctx context.Context, after uint64, wait time.Duration) (Stored, error) {
-			return gated(ctx, g, func() (Stored, error) { return source.Wait(ctx, after, wait) })
+			return gated(ctx, g, true, func() (Stored, error) { return source.Wait(ctx, after, wait) })
 		},
 	}
 }
@@ -113,7 +116,7 @@
 // Targets returns source with its calls through the gate.
 func (g *Gate) Targets(source TargetSource) TargetSource {
 	return TargetSource{List: func(ctx context.Context) (Listed, error) {
-		return gated(ctx, g, func() (Listed, error) { return source.List(ctx) })
+		return gated(ctx, g, false, func() (Listed, error) { return source.List(ctx) })
 	}}
 }
 
@@ -127,7 +130,7 @@
 func (g *Gate) Own(store OwnStore) OwnStore {
 	return OwnStore{
 		List: func(ctx context.Context, prefix string) ([]Entry, uint64, error) {
-			l, err := gated(ctx, g, func() (l listing, err error) {
+			l, err := gated(ctx, g, false, func() (l listing, err error) {
 				l.entries, l.revision, err = store.List(ctx, prefix)
 
 				return l, err
@@ -136,7 +139,7 @@
 			return l.entries, l.revision, err
 		},
 		Wait: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Entry, uint64, error) {
-			l, err := gated(ctx, g, func() (l listing, err error) {
+			l, err := gated(ctx, g, true, func() (l listing, err error) {
 				l.entries, l.revision, err = store.Wait(ctx, prefix, after, wait)
 
 				return l, err
@@ -145,13 +148,13 @@
 			return l.entries, l.revision, err
 		},
 		Commit: func(ctx context.Context, t Transaction) (uint64, error) {
-			return gated(ctx, g, func() (uint64, error) { return store.Commit(ctx, t) })
+			return gated(ctx, g, false, func() (uint64, error) { return store.Commit(ctx, t) })
 		},
 		Grant: func(ctx context.Context, ttl time.Duration) (Lease, error) {
-			return gated(ctx, g, func() (Lease, error) { return store.Grant(ctx, ttl) })
+			return gated(ctx, g, false, func() (Lease, error) { return store.Grant(ctx, ttl) })
 		},
 		Renew: func(ctx context.Context, lease Lease) error {
-			_, err := gated(ctx, g, func() (Lease, error) { return lease, store.Renew(ctx, lease) })
+			_, err := gated(ctx, g, false, func() (Lease, error) { return lease, store.Renew(ctx, lease) })
 
 			return err
 		},
--- a/internal/tier/control/gate_test.go
+++ b/internal/tier/control/gate_test.go
@@ -60,3 +60,37 @@
 		}
 	})
 })
+
+var _ = Describe("Gate with a call that waits", func() {
+	It("lets short calls try a store that failed, so that a wait does not hold up a new configuration", func() {
+		var failed atomic.Bool
+		gate := control.NewGate(timer.New(), func() bool { return false })
+		source := gate.Configurations(control.ConfigurationSource{
+			Read: func(context.Context) (control.Stored, error) {
+				if failed.CompareAndSwap(false, true) {
+					return control.Stored{}, errors.New("away")
+				}
+
+				return control.Stored{Revision: 7}, nil
+			},
+			Wait: func(ctx context.Context, _ uint64, _ time.Duration) (control.Stored, error) {
+				<-ctx.Done()
+
+				return control.Stored{}, ctx.Err()
+			},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		_, err := source.Read(ctx)
+		Expect(err).To(HaveOccurred())
+		// A part that did not see the failure waits for changes when the pause is over.
+		time.Sleep(200 * time.Millisecond)
+		go func() { _, _ = source.Wait(ctx, 1, time.Minute) }()
+		time.Sleep(50 * time.Millisecond)
+		short, stop := context.WithTimeout(ctx, time.Second)
+		defer stop()
+		stored, err := source.Read(short)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored.Revision).To(BeEquivalentTo(7))
+	})
+})
