Decline queries of peers until the targets are known

An instance that had just started took queries of peers and refused them for want of targets. explain no longer carries what an earlier process believed over a start.

--- a/internal/run/story/story.go
+++ b/internal/run/story/story.go
@@ -92,6 +92,10 @@
 			continue
 		}
 		switch e.fields["Name"] {
+		case event.InstanceStarting.Name:
+			// What an earlier process believed is gone with it.
+			configuration, target = nil, nil
+			clear(away)
 		case event.ConfigurationAdopted.Name:
 			configuration = e
 		case event.StoreUnavailable.Name:
--- a/internal/run/story/story_test.go
+++ b/internal/run/story/story_test.go
@@ -38,6 +38,14 @@
 		}))
 	})
 
+	It("forgets what an earlier process of the instance believed", func() {
+		started := logs + "  2.9 b Time=2026-12-04T09:00:02.9Z Level=Info Event=1001 Name=InstanceStarting Instance=b\n"
+		lines, err := story.Read(strings.NewReader(started), "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lines[2]).To(ContainSubstring("RequestAnswered"))
+		Expect(lines[3:]).To(BeEmpty())
+	})
+
 	It("finds nothing for an ID that no line names", func() {
 		Expect(story.Read(strings.NewReader(logs), "r9")).To(BeEmpty())
 	})
--- a/internal/tier/node/fleet.go
+++ b/internal/tier/node/fleet.go
@@ -154,6 +154,9 @@
 	if n.stopping.Load() {
 		return nil, peer.Stopping, version
 	}
+	if !n.listed.Load() {
+		return nil, peer.NotReady, version
+	}
 	if version != r.Version {
 		if r.Version > version {
 			n.configuration.Refresh()
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -18,6 +18,8 @@
 const (
 	// OtherVersion means that the gatherer has another configuration in force.
 	OtherVersion = "OtherVersion"
+	// NotReady means that the gatherer does not know the targets yet.
+	NotReady = "NotReady"
 	// Stopping means that the gatherer is about to stop.
 	Stopping = "Stopping"
 )
