--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"hash/fnv"
 	"maps"
 	"net/netip"
 	"slices"
@@ -139,16 +138,6 @@
 	behindSince time.Time
 }
 
-// Notice is what the leader tells the others once in a while and after each change. It reaches instances whose calls of the store
-// wait without hearing of changes.
-type Notice struct {
-	// Leader is the revision of the leader's key.
-	Leader uint64
-	// Version is the configuration in force at the leader, Mirror the revision of its last change of the mirror.
-	Version uint64
-	Mirror  uint64
-}
-
 // View is what is known of the fleet.
 type View struct {
 	Instances []Instance
@@ -248,79 +237,6 @@
 	return f.mirrorRevision
 }
 
-// Behind makes the keeper read everything again if revision is newer than what it knows, because a peer has it.
-func (f *Fleet) Behind(revision uint64) {
-	f.mu.Lock()
-	behind := f.known && revision > f.seen
-	f.mu.Unlock()
-	if behind {
-		f.refresh()
-	}
-}
-
-// Noticed takes a notice of the leader.
-func (f *Fleet) Noticed(n Notice) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.noticed = f.timers.Now()
-	f.wanted = max(n.Mirror, n.Leader)
-}
-
-func (f *Fleet) refresh() {
-	select {
-	case f.again <- struct{}{}:
-	default:
-	}
-}
-
-// Watch reads the store again if there are no notices of the leader, or if a change that it told of does not come, until ctx ends. A
-// call that waits may never hear of a change.
-func (f *Fleet) Watch(ctx context.Context) error {
-	ticks := f.timers.Subscribe(noticeCheck)
-	defer ticks.Stop()
-	for {
-		select {
-		case now := <-ticks.C:
-			if f.missed(now) {
-				f.refresh()
-			}
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// missed reports whether the store has to be read again.
-func (f *Fleet) missed(now time.Time) bool {
-	patience := f.settle() + changePatience
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case !f.known || f.leader.Name == f.self.Name:
-		f.noticed, f.behindSince = now, time.Time{}
-
-		return false
-	case now.Sub(f.noticed) > noticeTimeout:
-		f.noticed = now
-
-		return true
-	case f.wanted <= max(f.seen, f.leaderRevision):
-		f.behindSince = time.Time{}
-
-		return false
-	case f.behindSince.IsZero():
-		f.behindSince = now
-
-		return false
-	case now.Sub(f.behindSince) > patience:
-		f.behindSince = now
-
-		return true
-	default:
-		return false
-	}
-}
-
 // Run keeps the view until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	backoff := newBackoff(f.timers)
@@ -479,80 +395,3 @@
 		}
 	}
 }
-
-// Register keeps the instance registered until ctx ends, and then removes it.
-func (f *Fleet) Register(ctx context.Context) error {
-	value, err := json.Marshal(f.self)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	backoff := newBackoff(f.timers)
-	var lease Lease
-	for ctx.Err() == nil {
-		err := f.keepRegistered(ctx, &lease, value)
-		if err != nil {
-			f.log.Log(event.RegistrationFailed, "Error", err)
-			backoff.sleep(ctx)
-
-			continue
-		}
-		backoff.reset()
-		select {
-		case <-f.timers.After(instanceRenew):
-		case <-ctx.Done():
-		}
-	}
-	if lease != 0 {
-		ending, cancel := f.timers.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-		defer cancel()
-		if err := f.store.End(ending, lease); err != nil {
-			f.log.Log(event.RegistrationFailed, "Error", err)
-		}
-	}
-
-	return ctx.Err()
-}
-
-// keepRegistered renews the lease, or registers under a new one.
-func (f *Fleet) keepRegistered(ctx context.Context, lease *Lease, value []byte) (err error) {
-	ctx, cancel := f.timers.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if *lease != 0 {
-		err := f.store.Renew(ctx, *lease)
-		if !errors.Is(err, ErrLeaseEnded) {
-			return err
-		}
-		*lease = 0
-	}
-	granted, err := f.store.Grant(ctx, instanceTTL)
-	if err != nil {
-		return err
-	}
-	if _, err = f.store.Commit(ctx, Transaction{
-		Puts: []Put{{Key: instancePrefix + f.self.Name, Value: value, Lease: granted}},
-	}); err != nil {
-		return err
-	}
-	*lease = granted
-
-	return nil
-}
-
-// rank orders the instances by how soon they try to lead: strong ones first, equal ones by a hash of the name.
-func rank(instances []Instance, self Instance) int {
-	n := 0
-	for _, i := range instances {
-		if i.Processor > self.Processor || i.Processor == self.Processor && hash(i.Name) < hash(self.Name) {
-			n++
-		}
-	}
-
-	return n
-}
-
-func hash(name string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-
-	return h.Sum64()
-}
--- a/internal/tier/control/lead.go
+++ b/internal/tier/control/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 
@@ -373,3 +374,22 @@
 		t.log.Log(event.LeadershipEnded, "Error", err)
 	}
 }
+
+// rank orders the instances by how soon they try to lead: strong ones first, equal ones by a hash of the name.
+func rank(instances []Instance, self Instance) int {
+	n := 0
+	for _, i := range instances {
+		if i.Processor > self.Processor || i.Processor == self.Processor && hash(i.Name) < hash(self.Name) {
+			n++
+		}
+	}
+
+	return n
+}
+
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+
+	return h.Sum64()
+}
