Leave the try of a failing store to a call that has its whole time

Cause: a call waited at the gate within its own timeout of 700 ms and then tried the store with what was left, often a few milliseconds. That failed for want of time, and counted as a failure of the store.

Change: a call that has less than three quarters of its time left does not try. The new test fails without it.

--- a/internal/proof/soak/caller.go
+++ b/internal/proof/soak/caller.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/standin/operator"
 	"github.com/hickorynotch/hickorynotch/internal/standin/replica"
 )
 
@@ -86,8 +87,7 @@
 		return
 	}
 	request.Host = host
-	request.Header.Set("X-Request-Id", id)
-	request.Header.Set("X-Deadline-Ms", strconv.Itoa(int(patience.Milliseconds())))
+	operator.SetRequest(request.Header, id, patience)
 	boot, _, _ := c.instance.state()
 	started := time.Now()
 	response, err := c.client.Do(request)
@@ -150,7 +150,7 @@
 }
 
 func (c *caller) checkOne(kind, id string, boot int, response *http.Response, content []byte) {
-	service, of := replica.Unstamp(response.Header.Get("X-Response-Stamp"))
+	service, of := replica.Unstamp(operator.Stamp(response.Header))
 	if of != id || !bytes.Equal(content, replica.Part(service, id)) {
 		c.judge.breaks("%s: got the answer of %q, %d bytes", id, of, len(content))
 
@@ -178,21 +178,19 @@
 	var services []string
 	var records [][]byte
 	indexes := make(map[string]bool)
-	for _, value := range response.Header.Values("X-Part-Stamps") {
-		for stamp := range strings.SplitSeq(value, ",") {
-			service, of := replica.Unstamp(strings.TrimSpace(stamp))
-			if of != id || slices.Contains(services, service) {
-				c.judge.breaks("%s: has the stamp %q twice or of another request", id, stamp)
-			}
-			services = append(services, service)
-			indexes[strings.Split(service, "-")[1]] = true
-			part := replica.Part(service, id)
-			for ; len(part) > 0; part = part[replica.RecordBytes:] {
-				records = append(records, part[:replica.RecordBytes])
-			}
+	stamps, missing, err := operator.Parts(response.Header)
+	for _, stamp := range stamps {
+		service, of := replica.Unstamp(stamp)
+		if of != id || slices.Contains(services, service) {
+			c.judge.breaks("%s: has the stamp %q twice or of another request", id, stamp)
+		}
+		services = append(services, service)
+		indexes[strings.Split(service, "-")[1]] = true
+		part := replica.Part(service, id)
+		for ; len(part) > 0; part = part[replica.RecordBytes:] {
+			records = append(records, part[:replica.RecordBytes])
 		}
 	}
-	missing, err := strconv.Atoi(response.Header.Get("X-Missing-Parts"))
 	if err != nil || len(services)+missing != shards || len(indexes) != 1 {
 		c.judge.breaks("%s: %d parts, %d missing, of %d indexes", id, len(services), missing, len(indexes))
 	}
--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -4,6 +4,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/standin/operator"
 	"github.com/hickorynotch/hickorynotch/internal/standin/replica"
 	"github.com/hickorynotch/hickorynotch/internal/standin/store"
 )
@@ -153,7 +154,7 @@
 			r.judge.breaks("%s ran a request %v after it had said that it leaves", m.replica.ID, last.Sub(at))
 		}
 		m.gone = true
-		r.world.memory.Delete("servers/" + m.replica.ID)
+		r.world.memory.Delete(operator.EntryKey(m.replica.ID))
 		other := pick(r, r.world.targets)
 		m.proxy.retarget(other.proxy.address())
 		r.print("target %s %s is gone, its address leads to %s", m.replica.Service, m.replica.ID, other.replica.ID)
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/standin/operator"
 	"github.com/hickorynotch/hickorynotch/internal/standin/replica"
 	"github.com/hickorynotch/hickorynotch/internal/standin/store"
 )
@@ -106,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	path, err := settingsFile(r.settings.Logs, n, zones[n%len(zones)], p.address(), ports)
+	path, err := operator.WriteSettings(r.settings.Logs, n, zones[n%len(zones)], p.address(), ports)
 	if err != nil {
 		return err
 	}
--- a/internal/proof/soak/world.go
+++ b/internal/proof/soak/world.go
@@ -9,19 +9,17 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"net/netip"
-	"os"
-	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/standin/memory"
+	"github.com/hickorynotch/hickorynotch/internal/standin/operator"
 	"github.com/hickorynotch/hickorynotch/internal/standin/replica"
 	"github.com/hickorynotch/hickorynotch/internal/standin/store"
 )
@@ -37,6 +35,8 @@
 	// the instances are less than half of them behind.
 	versions = 8
 	host     = "soak.example"
+	// slots is the number of requests that a target says to run at a time.
+	slots = 8
 )
 
 var zones = []string{"Kochi", "Thrissur"}
@@ -135,88 +135,29 @@
 // register writes the entry of a target, as its heartbeat does.
 func (w *world) register(m *member) {
 	m.sequence++
-	state := "ready"
-	if m.draining {
-		state = "draining"
-	}
-	w.put("servers/"+m.replica.ID, map[string]any{
-		"service": m.replica.Service, "address": m.proxy.address(), "zone": m.zone, "version": "v1", "maxConcurrency": 8,
-		"state": state, "warmupLeftMs": 0, "sequence": m.sequence,
-	})
-}
-
-func (w *world) put(key string, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	w.memory.Put(key, data)
+	w.memory.Put(operator.EntryKey(m.replica.ID), operator.Entry{
+		Service: m.replica.Service, Address: m.proxy.address(), AvailabilityZone: m.zone, Slots: slots, Draining: m.draining,
+		Sequence: m.sequence,
+	}.Encode())
 }
 
 // configure writes the next configuration.
 func (w *world) configure() {
 	w.configuration++
 	gather := make([]string, 0, shards)
-	for s := range shards {
-		gather = append(gather, shard(w.index, s))
+	for n := range shards {
+		gather = append(gather, shard(w.index, n))
 	}
-	services := make([]map[string]any, 0, len(w.targets))
-	seen := make(map[string]bool)
+	var services []string
 	for _, m := range w.targets {
-		if !seen[m.replica.Service] {
-			seen[m.replica.Service] = true
-			services = append(services, map[string]any{"name": m.replica.Service, "healthPath": "/health", "maxConnections": 60})
+		if !slices.Contains(services, m.replica.Service) {
+			services = append(services, m.replica.Service)
 		}
 	}
-	row := func(name, prefix, kind, service string) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": host, "prefix": prefix, "type": kind, "timeoutMs": 2000, "targetLatencyMs": 400,
-			"maxAttempts": 2, "service": service,
-		}
-	}
-	w.put("op/config", map[string]any{
-		"version": w.configuration, "services": services, "limits": map[string]any{"maxBodyBytes": 1 << 16},
-		"routes": []any{
-			row("read", "/read/", "idempotent", "records"),
-			row("write", "/write/", "non_idempotent", "records"),
-			row("version", "/version/", "idempotent", fmt.Sprint("version-", w.configuration%versions)),
-			map[string]any{
-				"name": "page", "hostname": host, "prefix": "/page/", "type": "idempotent", "timeoutMs": 2000, "targetLatencyMs": 400,
-				"maxAttempts": 2, "gather": gather, "topK": top, "minCoverage": 0.6,
-			},
-		},
-	})
-}
-
-// settingsFile writes the settings of an instance.
-func settingsFile(dir string, i int, zone, storeAddress string, ports []netip.AddrPort) (path string, err error) {
-	path = filepath.Join(dir, fmt.Sprintf("instance-%d.toml", i))
-	text := fmt.Sprintf(`nodeName = "instance-%d"
-ip = "127.0.0.1"
-zone = %q
-region = %q
-internalPorts = [%d, %d]
-[zones]
-Kochi = "Kochi"
-Thrissur = "Thrissur"
-[bindAddrs]
-front = %q
-ready = %q
-[limits]
-cpuShare = 0.4
-cores = 1
-memoryMb = 284
-linkMbps = 1000.0
-[bounds]
-graceS = 4
-drainMs = 3000
-configApplyMs = 3000
-retryBudgetRatio = 0.2
-retryWindowS = 10
-retrySlack = 56
-[platform]
-address = %q
-`, i, zone, zone, min(ports[0].Port(), ports[1].Port()), max(ports[0].Port(), ports[1].Port()), ports[2], ports[3], storeAddress)
-
-	return path, os.WriteFile(path, []byte(text), 0o600)
+	w.memory.Put(operator.ConfigurationKey, operator.Configuration(w.configuration, services, []operator.Route{
+		{Name: "read", Host: host, Prefix: "/read/", Idempotent: true, Service: "records"},
+		{Name: "write", Host: host, Prefix: "/write/", Service: "records"},
+		{Name: "version", Host: host, Prefix: "/version/", Idempotent: true, Service: fmt.Sprint("version-", w.configuration%versions)},
+		{Name: "page", Host: host, Prefix: "/page/", Idempotent: true, Shards: gather, Top: top, MinimumCoverage: 0.6},
+	}))
 }
--- /dev/null
+++ b/internal/standin/operator/operator.go
@@ -0,0 +1,158 @@
+// Package operator is a stand-in for the users' operators and for what a platform gives its processes: configurations, entries of
+// targets, settings files, and the headers of callers.
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ConfigurationKey is where operators write the configuration.
+const ConfigurationKey = "op/config"
+
+// The bounds that every route of a stand-in's configuration has.
+const (
+	routeTimeoutMs   = 2000
+	routeObjectiveMs = 400
+	routeAttempts    = 2
+	bodyBytes        = 1 << 16
+	connections      = 60
+)
+
+// Route is a route of a configuration.
+type Route struct {
+	Name            string
+	Host            string
+	Prefix          string
+	Idempotent      bool
+	Service         string
+	Shards          []string
+	Top             int
+	MinimumCoverage float64
+}
+
+// Configuration encodes a configuration.
+func Configuration(version int, services []string, routes []Route) []byte {
+	rows := make([]map[string]any, 0, len(routes))
+	for _, r := range routes {
+		kind := "non_idempotent"
+		if r.Idempotent {
+			kind = "idempotent"
+		}
+		row := map[string]any{
+			"name": r.Name, "hostname": r.Host, "prefix": r.Prefix, "type": kind, "timeoutMs": routeTimeoutMs,
+			"targetLatencyMs": routeObjectiveMs, "maxAttempts": routeAttempts,
+		}
+		if len(r.Shards) > 0 {
+			row["gather"], row["topK"], row["minCoverage"] = r.Shards, r.Top, r.MinimumCoverage
+		} else {
+			row["service"] = r.Service
+		}
+		rows = append(rows, row)
+	}
+	described := make([]map[string]any, 0, len(services))
+	for _, s := range services {
+		described = append(described, map[string]any{"name": s, "healthPath": "/health", "maxConnections": connections})
+	}
+
+	return encode(map[string]any{
+		"version": version, "routes": rows, "services": described, "limits": map[string]any{"maxBodyBytes": bodyBytes},
+	})
+}
+
+// EntryKey is where the target with this ID registers.
+func EntryKey(id string) string { return "servers/" + id }
+
+// Entry is what a target registers.
+type Entry struct {
+	Service          string
+	Address          string
+	AvailabilityZone string
+	Slots            int
+	Draining         bool
+	Sequence         int
+}
+
+// Encode returns the entry as it lies in the store.
+func (e Entry) Encode() []byte {
+	state := "ready"
+	if e.Draining {
+		state = "draining"
+	}
+
+	return encode(map[string]any{
+		"service": e.Service, "address": e.Address, "zone": e.AvailabilityZone, "version": "v1", "maxConcurrency": e.Slots,
+		"state": state, "warmupLeftMs": 0, "sequence": e.Sequence,
+	})
+}
+
+// encode panics on values that JSON does not have; there are none in this package.
+func encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+
+	return data
+}
+
+// SetRequest writes the headers of a caller's request.
+func SetRequest(header http.Header, id string, patience time.Duration) {
+	header.Set("X-Request-Id", id)
+	header.Set("X-Deadline-Ms", strconv.Itoa(int(patience.Milliseconds())))
+}
+
+// Stamp returns the stamp of a target's response.
+func Stamp(header http.Header) string { return header.Get("X-Response-Stamp") }
+
+// Parts returns the stamps and the number of missing parts of a merged answer.
+func Parts(header http.Header) (stamps []string, missing int, err error) {
+	for _, value := range header.Values("X-Part-Stamps") {
+		for stamp := range strings.SplitSeq(value, ",") {
+			stamps = append(stamps, strings.TrimSpace(stamp))
+		}
+	}
+	missing, err = strconv.Atoi(header.Get("X-Missing-Parts"))
+
+	return stamps, missing, err
+}
+
+// WriteSettings writes the settings file of an instance. The ports are those between instances, for callers and for readiness.
+func WriteSettings(dir string, i int, zone, storeAddress string, ports []netip.AddrPort) (path string, err error) {
+	path = filepath.Join(dir, fmt.Sprintf("instance-%d.toml", i))
+	text := fmt.Sprintf(`nodeName = "instance-%d"
+ip = "127.0.0.1"
+zone = %q
+region = %q
+internalPorts = [%d, %d]
+[zones]
+Kochi = "Kochi"
+Thrissur = "Thrissur"
+[bindAddrs]
+front = %q
+ready = %q
+[limits]
+cpuShare = 0.4
+cores = 1
+memoryMb = 284
+linkMbps = 1000.0
+[bounds]
+graceS = 4
+drainMs = 3000
+configApplyMs = 3000
+retryBudgetRatio = 0.2
+retryWindowS = 10
+retrySlack = 56
+[platform]
+address = %q
+`, i, zone, zone, min(ports[0].Port(), ports[1].Port()), max(ports[0].Port(), ports[1].Port()), ports[2], ports[3], storeAddress)
+
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
--- a/internal/tier/control/gate.go
+++ b/internal/tier/control/gate.go
@@ -15,6 +15,8 @@
 	// after the store's return an instance has 4 s at least until it has to be up to date.
 	gateMinimum = 50 * time.Millisecond
 	gateMaximum = 2 * time.Second
+	// wholeCall is the time that a call needs to try a store that may be slow, most of callTimeout.
+	wholeCall = 3 * callTimeout / 4
 	// gateEager is the longest pause of an instance that cannot serve without an answer.
 	gateEager = 400 * time.Millisecond
 )
@@ -45,6 +47,12 @@
 		g.mu.Lock()
 		now := g.timers.Now()
 		if !g.failing || !waits && !g.trying && !now.Before(g.until) {
+			if deadline, ok := ctx.Deadline(); g.failing && ok && deadline.Sub(now) < wholeCall {
+				// The wait has used up the time of the call. Its next try has all of it.
+				g.mu.Unlock()
+
+				return context.DeadlineExceeded
+			}
 			g.trying = g.failing
 			g.mu.Unlock()
 
--- a/internal/tier/control/gate_test.go
+++ b/internal/tier/control/gate_test.go
@@ -94,3 +94,35 @@
 		Expect(stored.Revision).To(BeEquivalentTo(7))
 	})
 })
+
+var _ = Describe("Gate with a call whose time is nearly over", func() {
+	It("leaves the try to a call that has its whole time, so that a short one is not taken for a failure of the store", func() {
+		var calls atomic.Int64
+		source := control.NewGate(timer.New(), func() bool { return false }).Targets(control.TargetSource{
+			List: func(ctx context.Context) (control.Listed, error) {
+				if calls.Add(1) == 1 {
+					return control.Listed{}, errors.New("away")
+				}
+				// The store answers after a while.
+				select {
+				case <-time.After(300 * time.Millisecond):
+					return control.Listed{}, nil
+				case <-ctx.Done():
+					return control.Listed{}, ctx.Err()
+				}
+			},
+		})
+		_, err := source.List(context.Background())
+		Expect(err).To(HaveOccurred())
+		time.Sleep(200 * time.Millisecond)
+		short, stop := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer stop()
+		_, err = source.List(short)
+		Expect(err).To(HaveOccurred())
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+		whole, stop := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		defer stop()
+		_, err = source.List(whole)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
