Log values of the instances' own keys that cannot be used, and replace such a leader's key

Cause: the fleet's view dropped leader and mirror values that could not be decoded without a line, took mirrored targets unchecked, and a leader's key that held something else kept the fleet without a leader, because each claim expected the key to be absent while targets are only read by a leader or once a leader is known. Change: the values check themselves when decoded (value.go), one function decodes and logs them (event 1018 instead of 1013, which covered registrations alone), and a claim replaces the revision that names no leader.

--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -4,7 +4,7 @@
 var (
 	SettingsReloaded   = declare(1010, "SettingsReloaded", Info, "The settings file changed and was read again; Changed says whether anything differs.")
 	SettingsRejected   = declare(1011, "SettingsRejected", Error, "The settings file cannot be used; the process waits or keeps the last good settings.")
-	InstanceRejected   = declare(1013, "InstanceRejected", Warning, "The registration of another instance cannot be used.")
+	OwnValueRejected   = declare(1018, "OwnValueRejected", Warning, "A value that the instances keep in the store cannot be used; it counts as absent.")
 	RegistrationFailed = declare(1014, "RegistrationFailed", Warning, "The instance could not register or renew its registration; it tries again.")
 	LeadershipBegan    = declare(1015, "LeadershipBegan", Info, "This instance reads the targets' entries for the fleet.")
 	LeadershipEnded    = declare(1016, "LeadershipEnded", Warning, "This instance no longer reads the targets' entries for the fleet.")
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -3,10 +3,8 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
-	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -50,64 +48,6 @@
 	changePatience = 700 * time.Millisecond
 )
 
-// Instance is what an instance tells the others of itself.
-type Instance struct {
-	Name             string
-	Peer             netip.AddrPort
-	AvailabilityZone string
-	// Processor is the share of a core, LinkBits the bits a second that the machine has.
-	Processor float64
-	LinkBits  float64
-}
-
-// Check returns an error if the instance cannot be reached by what it says.
-func (i *Instance) Check() error {
-	switch {
-	case i.Name == "":
-		return errors.New("field Name is empty")
-	case !i.Peer.IsValid():
-		return errors.New("field Peer is not an address")
-	case i.AvailabilityZone == "":
-		return errors.New("field AvailabilityZone is empty")
-	case i.Processor <= 0:
-		return errors.New("field Processor is not positive")
-	}
-
-	return nil
-}
-
-// leader is the value of leaderKey.
-type leader struct {
-	Name string
-	// Synced is set once the mirror has been compared with the entries.
-	Synced bool
-}
-
-// mirrored is the value of a key below mirrorPrefix.
-type mirrored struct {
-	Service          string
-	Address          netip.AddrPort
-	AvailabilityZone string
-	Slots            int
-	Draining         bool
-	Warmup           time.Duration
-	Started          time.Time
-}
-
-func mirror(t *directory.Target) mirrored {
-	return mirrored{
-		Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone, Slots: t.Slots, Draining: t.Draining,
-		Warmup: t.Warmup, Started: t.Started,
-	}
-}
-
-func (m *mirrored) target(id string) *directory.Target {
-	return &directory.Target{
-		ID: id, Service: m.Service, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Slots: m.Slots, Draining: m.Draining,
-		Warmup: m.Warmup, Started: m.Started,
-	}
-}
-
 // Fleet keeps what the instances tell each other through the store: who they are, who reads the targets' entries, and what it
 // found.
 type Fleet struct {
@@ -141,7 +81,8 @@
 // View is what is known of the fleet.
 type View struct {
 	Instances []Instance
-	// Leader is the name of the instance that reads the targets' entries, empty if there is none.
+	// Leader is the name of the instance that reads the targets' entries, empty if there is none. LeaderRevision is that of its
+	// key, 0 if the key does not exist.
 	Leader         string
 	LeaderRevision uint64
 	// Targets is the mirror of the targets' entries, nil if no leader vouches for it.
@@ -364,33 +305,23 @@
 	switch {
 	case e.Key == leaderKey:
 		f.leader, f.leaderRevision = leader{}, 0
-		if !e.Gone && json.Unmarshal(e.Value, &f.leader) == nil {
+		if !e.Gone {
+			// A value that cannot be used names no leader; the next one replaces this revision.
+			f.leader, _ = take[leader](f.log, e)
 			f.leaderRevision = e.Revision
 		}
 	case strings.HasPrefix(e.Key, instancePrefix):
 		name := strings.TrimPrefix(e.Key, instancePrefix)
-		var i Instance
 		delete(f.instances, name)
-		if e.Gone {
-			return
-		}
-		err := json.Unmarshal(e.Value, &i)
-		if err == nil {
-			err = i.Check()
-		}
-		if err != nil {
-			f.log.Log(event.InstanceRejected, "Key", e.Key, "Error", err)
-
-			return
+		if i, ok := take[Instance](f.log, e); ok {
+			f.instances[name] = i
 		}
-		f.instances[name] = i
 	case strings.HasPrefix(e.Key, mirrorPrefix):
 		id := strings.TrimPrefix(e.Key, mirrorPrefix)
 		f.mirrorRevision = max(f.mirrorRevision, e.Revision)
 		f.seen = max(f.seen, e.Revision)
 		delete(f.targets, id)
-		var m mirrored
-		if !e.Gone && json.Unmarshal(e.Value, &m) == nil {
+		if m, ok := take[mirrored](f.log, e); ok {
 			f.targets[id] = m.target(id)
 		}
 	}
--- a/internal/tier/control/lead.go
+++ b/internal/tier/control/lead.go
@@ -171,7 +171,7 @@
 
 // lead takes the leadership, and mirrors the entries until it is lost.
 func (l *Leadership) lead(ctx context.Context) (err error) {
-	t := &term{Leadership: l}
+	t := &term{Leadership: l, revision: l.fleet.View().LeaderRevision}
 	defer func() { t.end(ctx, err) }()
 	if err := t.begin(ctx); err != nil {
 		return err
@@ -244,7 +244,7 @@
 		if t.lease, err = t.store.Grant(ctx, leaderTTL); err != nil {
 			return err
 		}
-		if t.revision, err = t.claim(ctx, 0, false); err != nil {
+		if t.revision, err = t.claim(ctx, t.revision, false); err != nil {
 			return err
 		}
 		if err = t.targets.Read(ctx); err != nil {
@@ -255,11 +255,10 @@
 			return err
 		}
 		t.written = make(map[string]mirrored, len(entries))
-		for _, e := range entries {
-			var m mirrored
-			// A value that cannot be read differs from any target and is written anew.
-			_ = json.Unmarshal(e.Value, &m)
-			t.written[e.Key[len(mirrorPrefix):]] = m
+		for i := range entries {
+			// A value that cannot be used differs from any target and is written anew, or removed.
+			m, _ := take[mirrored](t.log, &entries[i])
+			t.written[entries[i].Key[len(mirrorPrefix):]] = m
 		}
 		if err = t.sync(ctx, false); err != nil {
 			return err
--- /dev/null
+++ b/internal/tier/control/value.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
+)
+
+// Instance is what an instance tells the others of itself.
+type Instance struct {
+	Name             string
+	Peer             netip.AddrPort
+	AvailabilityZone string
+	// Processor is the share of a core, LinkBits the bits a second that the machine has.
+	Processor float64
+	LinkBits  float64
+}
+
+// Check returns an error if the instance cannot be reached by what it says.
+func (i *Instance) Check() error {
+	switch {
+	case i.Name == "":
+		return errors.New("field Name is empty")
+	case !i.Peer.IsValid():
+		return errors.New("field Peer is not an address")
+	case i.AvailabilityZone == "":
+		return errors.New("field AvailabilityZone is empty")
+	case i.Processor <= 0:
+		return errors.New("field Processor is not positive")
+	}
+
+	return nil
+}
+
+// UnmarshalJSON decodes and checks the value of a key below instancePrefix.
+func (i *Instance) UnmarshalJSON(data []byte) error {
+	type plain Instance
+	if err := json.Unmarshal(data, (*plain)(i)); err != nil {
+		return err
+	}
+
+	return i.Check()
+}
+
+// leader is the value of leaderKey.
+type leader struct {
+	Name string
+	// Synced is set once the mirror has been compared with the entries.
+	Synced bool
+}
+
+// UnmarshalJSON decodes and checks the value.
+func (l *leader) UnmarshalJSON(data []byte) error {
+	type plain leader
+	if err := json.Unmarshal(data, (*plain)(l)); err != nil {
+		return err
+	}
+	if l.Name == "" {
+		return errors.New("field Name is empty")
+	}
+
+	return nil
+}
+
+// mirrored is the value of a key below mirrorPrefix.
+type mirrored struct {
+	Service          string
+	Address          netip.AddrPort
+	AvailabilityZone string
+	Slots            int
+	Draining         bool
+	Warmup           time.Duration
+	Started          time.Time
+}
+
+// UnmarshalJSON decodes and checks the value.
+func (m *mirrored) UnmarshalJSON(data []byte) error {
+	type plain mirrored
+	if err := json.Unmarshal(data, (*plain)(m)); err != nil {
+		return err
+	}
+	switch {
+	case m.Service == "":
+		return errors.New("field Service is empty")
+	case !m.Address.IsValid():
+		return errors.New("field Address is not an address")
+	case m.AvailabilityZone == "":
+		return errors.New("field AvailabilityZone is empty")
+	case m.Slots <= 0:
+		return errors.New("field Slots is not positive")
+	}
+
+	return nil
+}
+
+func mirror(t *directory.Target) mirrored {
+	return mirrored{
+		Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone, Slots: t.Slots, Draining: t.Draining,
+		Warmup: t.Warmup, Started: t.Started,
+	}
+}
+
+func (m *mirrored) target(id string) *directory.Target {
+	return &directory.Target{
+		ID: id, Service: m.Service, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Slots: m.Slots, Draining: m.Draining,
+		Warmup: m.Warmup, Started: m.Started,
+	}
+}
+
+// take decodes the value of one of the instances' own keys. A value that cannot be used counts as absent.
+func take[T any](log *event.Log, e *Entry) (value T, ok bool) {
+	if e.Gone {
+		return value, false
+	}
+	if err := json.Unmarshal(e.Value, &value); err != nil {
+		log.Log(event.OwnValueRejected, "Key", e.Key, "Revision", e.Revision, "Error", err)
+
+		var none T
+
+		return none, false
+	}
+
+	return value, true
+}
--- /dev/null
+++ b/internal/tier/control/value_test.go
@@ -0,0 +1,75 @@
+package control_test
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/standin/memory"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+)
+
+// lines collects log lines.
+type lines struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.buffer.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.buffer.String()
+}
+
+var _ = Describe("Values of the instances' own keys", func() {
+	DescribeTable("are logged with their key when they cannot be used, because the instance acts as if they were absent",
+		func(key, value, reason string) {
+			timers, store, out := timer.New(), memory.New(timer.New()), &lines{}
+			store.Put(key, []byte(value))
+			self := control.Instance{
+				Name: "a", Peer: netip.MustParseAddrPort("10.0.0.9:1"), AvailabilityZone: "Kochi", Processor: 1,
+			}
+			fleet := control.NewFleet(store.Own(), self, timers, control.WithFleetLog(event.New(out, time.Now)))
+			ctx, cancel := context.WithCancel(context.Background())
+			DeferCleanup(cancel)
+			go func() { _ = fleet.Run(ctx) }()
+			Eventually(func() bool { return fleet.View().Known }).Should(BeTrue())
+			Expect(out.String()).To(And(ContainSubstring("Key="+key), ContainSubstring(reason)))
+			Expect(fleet.View().Leader).To(BeEmpty())
+			Expect(fleet.View().Instances).To(BeEmpty())
+			Expect(fleet.View().Mirror.Len()).To(BeZero())
+		},
+		Entry("a leader that is no JSON", "hickorynotch/leader", "{", "unexpected end"),
+		Entry("a leader without a name", "hickorynotch/leader", `{"Synced":true}`, "Name is empty"),
+		Entry("a target without an address", "hickorynotch/targets/i-1", `{"Service":"s","AvailabilityZone":"Kochi","Slots":2}`,
+			"Address is not an address"),
+		Entry("a target without slots", "hickorynotch/targets/i-1",
+			`{"Service":"s","AvailabilityZone":"Kochi","Address":"10.0.0.1:1"}`, "Slots is not positive"),
+		Entry("an instance without a processor", "hickorynotch/instances/b",
+			`{"Name":"b","Peer":"10.0.0.1:1","AvailabilityZone":"Kochi"}`, "Processor is not positive"),
+	)
+
+	It("do not keep the fleet without a leader when the leader's key holds something else", func() {
+		store, r := memory.New(timer.New()), &registry{}
+		store.Put("hickorynotch/leader", []byte("{"))
+		r.set(nil, target("a"))
+		m := join(store, r, "m0", func(control.Notice) {})
+		Eventually(func() string { return m.fleet.View().Leader }, "10s").Should(Equal("m0"))
+		Eventually(func() int { return m.targets().Len() }, "5s").Should(Equal(1))
+	})
+})
