--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -20,6 +20,7 @@
 	TargetMoved     = declare(4013, "TargetMoved", Warning, "Another process answers at the address of a target.")
 	TargetRejected  = declare(4014, "TargetRejected", Warning, "Entries name no target that can be used; the first fault is shown.")
 	ResponseForeign = declare(4015, "ResponseForeign", Warning, "A response to another request arrived on a connection and was dropped.")
+	HeadersRejected = declare(4017, "HeadersRejected", Warning, "Headers of a target's response could not be read and count as absent.")
 
 	GathererFailed  = declare(5014, "GathererFailed", Warning, "A peer did not gather a query; another instance does.")
 	RequestGathered = declare(5015, "RequestGathered", Info, "A query, or some of its shards, was gathered for a peer.")
--- a/internal/tier/target/codec.go
+++ b/internal/tier/target/codec.go
@@ -26,12 +26,14 @@
 	Load *Load
 	// IdleTimeout is the time after which the target closes an idle connection; zero if it did not say.
 	IdleTimeout time.Duration
+	// Fault names headers that could not be read and count as absent. The response itself is sound.
+	Fault error
 }
 
 // Codec translates between the fields of this package and the headers that targets use.
 type Codec struct {
 	// AppendAttempt appends the header lines of one attempt: the time that remains and the ID of the target that is meant.
 	AppendAttempt func(head []byte, remaining time.Duration, targetID string) []byte
-	// DecodeReply reads the headers of a response. It reports malformed headers as an error.
+	// DecodeReply reads the headers of a response. It returns an error if they do not allow the response to be used.
 	DecodeReply func(header http.Header) (Reply, error)
 }
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -209,6 +209,9 @@
 	if err != nil {
 		return false, err
 	}
+	if fault := result.Reply.Fault; fault != nil {
+		l.fleet.log.Log(event.HeadersRejected, "Target", l.id, "Request", call.RequestID, "Error", fault)
+	}
 	keep = !response.Close
 	if id := result.Reply.RequestID; id != "" && id != call.RequestID {
 		return keep, errForeign
