Keep the delays between places in one place and drop facts that decide nothing

choice.Distance.RoundTrip replaces three copies of the delays; choice.Facts loses Oldest and Connected, which no decision read. No behaviour changes; the estimates are the same.

--- a/internal/decision/choice/choice.go
+++ b/internal/decision/choice/choice.go
@@ -24,14 +24,16 @@
 	minimumSilence = 25 * time.Millisecond
 	// pauseRemainder is the assumed rest of a pause. Pauses last 150 ms to 250 ms.
 	pauseRemainder = 120 * time.Millisecond
-	// failureCost is the cost of a replica that fails every request; it exceeds the objective of the gathered queries.
-	failureCost = 400 * time.Millisecond
-	// zoneDelay and regionDelay are the round trips of a path that leaves the availability zone or the region; a pace that was
-	// seen holds them already. zoneCost and regionCost express the price of the bytes of a part on such a path.
-	zoneDelay   = 3 * time.Millisecond
-	regionDelay = 22 * time.Millisecond
-	zoneCost    = 1 * time.Millisecond
-	regionCost  = 6 * time.Millisecond
+	// FailureCost is the cost of a target or an instance that fails every request; it exceeds the objective of the gathered
+	// queries.
+	FailureCost = 400 * time.Millisecond
+	// ZoneDelay and RegionDelay are the round trips of a path that leaves the availability zone or the region: the users' one-way
+	// delays of 1 ms and 8 ms to 12 ms with what the machines add.
+	ZoneDelay   = 3 * time.Millisecond
+	RegionDelay = 22 * time.Millisecond
+	// zoneCost and regionCost express the price of the bytes of a part on such a path.
+	zoneCost   = 1 * time.Millisecond
+	regionCost = 6 * time.Millisecond
 	// warmupFactor is how much slower a replica is that has just started.
 	warmupFactor = 1.6
 	// reportAge is the age after which a report of load is not used any more, a few times the mean work.
@@ -50,8 +52,7 @@
 	// Pace is the moving average of the time of a request, zero if none has ended; PaceAge is the age of the newest sample.
 	Pace    time.Duration
 	PaceAge time.Duration
-	// Oldest is the age of the oldest request in flight, Silent the time for which requests were in flight without a response.
-	Oldest time.Duration
+	// Silent is the time for which requests were in flight without a response.
 	Silent time.Duration
 	// Reported is the number of requests that the replica ran or held, by its report of the given age; Slowdown is 0 or the
 	// reported relative time of work.
@@ -62,8 +63,6 @@
 	Failures float64
 	// Warmup is how much longer the replica is slow after its start.
 	Warmup time.Duration
-	// Connected is set if an idle connection is at hand.
-	Connected bool
 }
 
 // Place is where the instance is.
@@ -96,6 +95,18 @@
 	}
 }
 
+// RoundTrip returns the usual time to a place and back.
+func (d Distance) RoundTrip() time.Duration {
+	switch d {
+	case SameZone:
+		return 0
+	case SameRegion:
+		return ZoneDelay
+	default:
+		return RegionDelay
+	}
+}
+
 // Stopped reports whether the replica seems to have stopped answering.
 func (f *Facts) Stopped() bool {
 	if f.InFlight == 0 {
@@ -181,16 +192,16 @@
 	if f.Stopped() {
 		cost += pauseRemainder
 	}
-	cost += time.Duration(f.Failures * float64(failureCost))
-	delay := time.Duration(0)
+	cost += time.Duration(f.Failures * float64(FailureCost))
 	switch distance {
 	case SameRegion:
-		cost, delay = cost+zoneCost, zoneDelay
+		cost += zoneCost
 	case OtherRegion:
-		cost, delay = cost+regionCost, regionDelay
+		cost += regionCost
 	}
 	if f.Pace == 0 {
-		cost += delay
+		// A pace that was seen holds the way already.
+		cost += distance.RoundTrip()
 	}
 
 	return cost
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -25,11 +25,6 @@
 	// of these parts cross as one merged answer of a group, which costs a seventh of the parts' bytes.
 	partZoneCost   = 60 * time.Microsecond
 	partRegionCost = 400 * time.Microsecond
-	// zoneDelay and regionDelay are the round trips of the hop.
-	zoneDelay   = 3 * time.Millisecond
-	regionDelay = 22 * time.Millisecond
-	// failureCost is the cost of an instance that fails every query; it exceeds the objective of the gathered queries.
-	failureCost = 400 * time.Millisecond
 	// strongShare is the share of the strongest processor from which an instance gathers for others.
 	strongShare = 0.5
 )
@@ -97,25 +92,17 @@
 	region := max(min(c.RegionShards, q.Shards), local)
 	cost += time.Duration(region-local)*partZoneCost + time.Duration(q.Shards-region)*partRegionCost
 	if region > local {
-		cost += zoneDelay
+		cost += choice.SameRegion.RoundTrip()
 	}
 	if q.Shards > region {
-		cost += regionDelay
+		cost += choice.OtherRegion.RoundTrip()
 	}
 
-	return cost + time.Duration(c.Failures*float64(failureCost))
+	return cost + time.Duration(c.Failures*float64(choice.FailureCost))
 }
 
 func (c *Candidate) hop(own Candidate, distance choice.Distance) time.Duration {
-	cost := time.Duration(float64(hopWork) / max(own.Processor, 0.01))
-	switch distance {
-	case choice.SameRegion:
-		cost += zoneDelay
-	case choice.OtherRegion:
-		cost += regionDelay
-	}
-
-	return cost
+	return time.Duration(float64(hopWork)/max(own.Processor, 0.01)) + distance.RoundTrip()
 }
 
 // Gatherers counts the instances that are likely to gather for others, and says whether own is one: the strong ones where replicas
--- a/internal/tier/handover/handover.go
+++ b/internal/tier/handover/handover.go
@@ -36,9 +36,9 @@
 	// trips of 24 ms between regions for a new connection, and a wait for small processors.
 	nearBound = 35 * time.Millisecond
 	farBound  = 85 * time.Millisecond
-	// nearHop and farHop are the way of an answer from the peer to this instance and of the query to the peer.
-	nearHop = 4 * time.Millisecond
-	farHop  = 26 * time.Millisecond
+	// nearHop and farHop are the way of the query to the peer and of its answer back, with the wait for small processors.
+	nearHop = choice.ZoneDelay + time.Millisecond
+	farHop  = choice.RegionDelay + 4*time.Millisecond
 	// deadlineHop is kept of the time that is left for the way of the answer.
 	deadlineHop = 15 * time.Millisecond
 	// firstPause and longestPause bound the time for which a peer is left out after a failure; it doubles with each.
--- a/internal/tier/target/link.go
+++ b/internal/tier/target/link.go
@@ -119,11 +119,9 @@
 		InFlight:         len(l.active),
 		Pace:             l.pace[route],
 		Failures:         l.failures(now),
-		Connected:        len(l.idle) > 0,
 		Warmup:           max(0, l.target.Warmup-now.Sub(l.seen)),
 	}
 	if len(l.active) > 0 {
-		facts.Oldest = now.Sub(l.active[0])
 		facts.Silent = now.Sub(latest(l.replied, l.active[0]))
 	}
 	if !l.paceAt.IsZero() {
