--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -4,7 +4,7 @@
 var (
 	SettingsReloaded   = declare(1010, "SettingsReloaded", Info, "The settings file changed and was read again; Changed says whether anything differs.")
 	SettingsRejected   = declare(1011, "SettingsRejected", Error, "The settings file cannot be used; the process waits or keeps the last good settings.")
-	InstanceRejected   = declare(1013, "InstanceRejected", Warning, "The registration of another instance cannot be used.")
+	OwnValueRejected   = declare(1018, "OwnValueRejected", Warning, "A value that the instances keep in the store cannot be used; it counts as absent.")
 	RegistrationFailed = declare(1014, "RegistrationFailed", Warning, "The instance could not register or renew its registration; it tries again.")
 	LeadershipBegan    = declare(1015, "LeadershipBegan", Info, "This instance reads the targets' entries for the fleet.")
 	LeadershipEnded    = declare(1016, "LeadershipEnded", Warning, "This instance no longer reads the targets' entries for the fleet.")
@@ -20,6 +20,7 @@
 	TargetMoved     = declare(4013, "TargetMoved", Warning, "Another process answers at the address of a target.")
 	TargetRejected  = declare(4014, "TargetRejected", Warning, "Entries name no target that can be used; the first fault is shown.")
 	ResponseForeign = declare(4015, "ResponseForeign", Warning, "A response to another request arrived on a connection and was dropped.")
+	HeadersRejected = declare(4017, "HeadersRejected", Warning, "Headers of a target's response could not be read and count as absent.")
 
 	GathererFailed  = declare(5014, "GathererFailed", Warning, "A peer did not gather a query; another instance does.")
 	RequestGathered = declare(5015, "RequestGathered", Info, "A query, or some of its shards, was gathered for a peer.")
