Use one client for the platform in both programs, and one stand-in for it

Cause: serve had a client and a stand-in of its own for a platform whose protocol nobody runs, beside the adapter in platform/, so the tests and the demo did not run the calls that the users' platform gets. Change: internal/wire/platform keeps its interface (single keys, definite outcomes, the list) and works on control.OwnStore, which the adapter provides. Claims last 8 minutes, because the users' leases last 10 at most.

--- a/cmd/hickorynotch/apply.go
+++ b/cmd/hickorynotch/apply.go
@@ -17,8 +17,9 @@
 	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
 	"github.com/hickorynotch/hickorynotch/internal/run/setting"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
-	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	wire "github.com/hickorynotch/hickorynotch/internal/wire/platform"
 	"github.com/hickorynotch/hickorynotch/internal/world/contract"
+	"github.com/hickorynotch/hickorynotch/platform"
 )
 
 // Exit statuses of apply beside those of package subcommands.
@@ -75,8 +76,9 @@
 	timers := timer.New()
 	ctx, cancel := timers.WithTimeout(ctx, *c.timeout)
 	defer cancel()
-	client := platform.NewClient(*c.platform, timers)
-	defer client.Close()
+	store := platform.NewStore(*c.platform)
+	defer store.Close()
+	client := wire.NewClient(store.Own(), store.Targets(), timers)
 	applier := configuration.NewApplier(timers, configuration.WithApplierStore(client))
 	applier.Check = contract.CheckAll
 	change := configuration.Change{ApplyID: *c.id, Operator: *c.operator, From: uint64(*c.from)}
--- a/cmd/hickorynotch/serve.go
+++ b/cmd/hickorynotch/serve.go
@@ -19,6 +19,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/setting"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/world/zone"
+	"github.com/hickorynotch/hickorynotch/platform"
 )
 
 // serveCommand runs an entry instance.
@@ -106,6 +107,8 @@
 func (c *serveCommand) serve(ctx context.Context) error {
 	timers := timer.New()
 	events := event.New(c.errors, timers.Now)
+	store := platform.NewStore(*c.platform)
+	defer store.Close()
 	// net/http reports broken connections and unsolicited replies to the standard log only.
 	log.SetFlags(0)
 	log.SetOutput(events.Writer(event.LibraryMessage))
@@ -115,7 +118,8 @@
 		Caller:           *c.caller,
 		Peer:             *c.peer,
 		Operator:         *c.operator,
-		Platform:         *c.platform,
+		Store:            store.Own(),
+		Targets:          store.Targets(),
 		Seeds:            *c.seeds,
 		Limit:            entry.Limit(*c.limit),
 		Hedging:          entry.Hedging(*c.hedge),
--- a/cmd/hickorynotch/show.go
+++ b/cmd/hickorynotch/show.go
@@ -15,7 +15,8 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/setting"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/wire/operator"
-	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	wire "github.com/hickorynotch/hickorynotch/internal/wire/platform"
+	"github.com/hickorynotch/hickorynotch/platform"
 )
 
 // exitBehind is the status of show when an instance does not have the accepted revision in force.
@@ -81,8 +82,9 @@
 
 // showAccepted prints the accepted revision and returns it.
 func (c *showCommand) showAccepted(ctx context.Context) (revision uint64, known bool) {
-	client := platform.NewClient(*c.platform, timer.New())
-	defer client.Close()
+	store := platform.NewStore(*c.platform)
+	defer store.Close()
+	client := wire.NewClient(store.Own(), store.Targets(), timer.New())
 	entry, err := client.Read(ctx, configuration.Key)
 	if err != nil {
 		_, _ = fmt.Fprintf(c.out, "accepted: unknown: %v\n", err)
--- a/internal/bench/control/live.go
+++ b/internal/bench/control/live.go
@@ -18,6 +18,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/fleet/configuration"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	standin "github.com/hickorynotch/hickorynotch/internal/standin/platform"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/value/duration"
 	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
 	"github.com/hickorynotch/hickorynotch/internal/world/contract"
@@ -239,10 +240,10 @@
 }
 
 func storeCalls(c standin.Calls) uint64 {
-	return c.Read + c.Watch + c.CompareAndSwap + c.Delete + c.GrantLease + c.RenewLease + c.RevokeLease
+	return c.Read + c.Watch + c.Commit + c.GrantLease + c.RenewLease + c.EndLease
 }
 
-// operator applies changes. It names no availability zone, so faults for zones do not reach it.
+// operator applies changes. It is in no availability zone, so faults for zones do not reach it.
 type operator struct {
 	fleet   *liveFleet
 	applier *configuration.Applier
@@ -258,7 +259,7 @@
 	return &operator{
 		fleet: f,
 		applier: configuration.NewApplier(timers,
-			configuration.WithApplierStore(platform.NewClient(f.operatorAddress, timers))),
+			configuration.WithApplierStore(platform.NewClient(f.platform.Store().Own(), control.TargetSource{}, timers))),
 		targets:  []netip.AddrPort{absent(0)},
 		replicas: 1,
 	}
--- a/internal/decision/choice/choice.go
+++ b/internal/decision/choice/choice.go
@@ -27,9 +27,10 @@
 	// FailureCost is the cost of a target or an instance that fails every request; it exceeds the objective of the gathered
 	// queries.
 	FailureCost = 400 * time.Millisecond
-	// ZoneDelay and RegionDelay are the round trips of a path that leaves the availability zone or the region: the users' one-way
+	// ZoneDelay is the round trip of a path between availability zones of a region. It and RegionDelay are the users' one-way
 	// delays of 1 ms and 8 ms to 12 ms with what the machines add.
-	ZoneDelay   = 3 * time.Millisecond
+	ZoneDelay = 3 * time.Millisecond
+	// RegionDelay is that of a path between regions.
 	RegionDelay = 22 * time.Millisecond
 	// zoneCost and regionCost express the price of the bytes of a part on such a path.
 	zoneCost   = 1 * time.Millisecond
--- a/internal/fleet/configuration/apply.go
+++ b/internal/fleet/configuration/apply.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/value/fault"
 	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
 	"github.com/hickorynotch/hickorynotch/internal/world/zone"
@@ -110,7 +111,7 @@
 type Applier struct {
 	// The operations of the store, as package platform describes them.
 	Read           func(ctx context.Context, key string) (platform.Entry, error)
-	CompareAndSwap func(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error)
+	CompareAndSwap func(ctx context.Context, key string, value []byte, expected uint64, lease control.Lease) (uint64, error)
 	// Check returns the faults of the contents, merged for every availability zone.
 	Check func(base json.RawMessage, overlays map[zone.Zone]json.RawMessage) error
 
@@ -193,7 +194,7 @@
 	if err == nil && result.Accepted.Revision == next.Revision {
 		// A conflict is another apply that announced a later revision.
 		confirmed := Announcement{Revision: next.Revision, Written: true}
-		_, _ = a.CompareAndSwap(ctx, AnnouncementKey, confirmed.encode(), announced, "")
+		_, _ = a.CompareAndSwap(ctx, AnnouncementKey, confirmed.encode(), announced, 0)
 	}
 
 	return result, err
@@ -208,7 +209,7 @@
 		if err == nil {
 			// Another apply may have announced a later revision since the record was read.
 			next := Announcement{Revision: max(revision, decodeAnnouncement(entry.Value).Revision)}
-			version, err = a.CompareAndSwap(ctx, AnnouncementKey, next.encode(), entry.Version, "")
+			version, err = a.CompareAndSwap(ctx, AnnouncementKey, next.encode(), entry.Version, 0)
 		}
 		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
 			return version, err
@@ -254,7 +255,7 @@
 ) (Result, error) {
 	pause, unknown := firstApplyPause, false
 	for {
-		_, err := a.CompareAndSwap(ctx, Key, data, version, "")
+		_, err := a.CompareAndSwap(ctx, Key, data, version, 0)
 		if err == nil {
 			return Result{Accepted: next.Applied}, nil
 		}
--- a/internal/query/claim/attempt.go
+++ b/internal/query/claim/attempt.go
@@ -55,7 +55,7 @@
 		// A grant writes no claim, so its own unknown outcome leaves none behind.
 		return false, fmt.Errorf("lease: %v", err) //nolint:errorlint // the reason of a grant must not match here
 	}
-	if a.lease.ID == "" {
+	if a.lease.ID == 0 {
 		a.lease = lease
 	}
 	a.version, err = c.CompareAndSwap(ctx, a.key, []byte(a.token), 0, lease.ID)
--- a/internal/query/claim/claim.go
+++ b/internal/query/claim/claim.go
@@ -22,6 +22,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
 )
 
@@ -53,8 +54,9 @@
 const (
 	// Prefix is the prefix of the keys of claims.
 	Prefix = "Claims/"
-	// Lifetime is the shortest time for which a claim that is not released stays in the store.
-	Lifetime = 10 * time.Minute
+	// Lifetime is the shortest time for which a claim that is not released stays in the store. With slice and a margin it makes
+	// up the 10 minutes that a lease of the users' platform lasts at most.
+	Lifetime = 8 * time.Minute
 	// MaxRate is the number of claims that an instance takes within one second. The store takes several hundred writes a
 	// second from all instances together.
 	MaxRate = 50
@@ -76,7 +78,7 @@
 // Claims takes claims. It is safe for concurrent use.
 type Claims struct {
 	// The operations of the store, as package platform describes them.
-	CompareAndSwap func(ctx context.Context, key string, value []byte, expected uint64, lease platform.LeaseID) (uint64, error)
+	CompareAndSwap func(ctx context.Context, key string, value []byte, expected uint64, lease control.Lease) (uint64, error)
 	Read           func(ctx context.Context, key string) (platform.Entry, error)
 	Delete         func(ctx context.Context, key string, expected uint64) error
 	GrantLease     func(ctx context.Context, ttl time.Duration) (platform.Lease, error)
--- a/internal/query/claim/lease.go
+++ b/internal/query/claim/lease.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/wire/platform"
 )
 
@@ -31,7 +32,7 @@
 // current returns the lease of the present slice, or a new one for the slice that begins.
 func (l *leases) current(ctx context.Context, c *Claims) (held, error) {
 	l.mu.Lock()
-	if age := c.timers.Since(l.held.requested); l.held.ID != "" && age < slice {
+	if age := c.timers.Since(l.held.requested); l.held.ID != 0 && age < slice {
 		defer l.mu.Unlock()
 
 		return l.held, nil
@@ -76,7 +77,7 @@
 }
 
 // drop forgets a lease that the store does not know any more.
-func (l *leases) drop(id platform.LeaseID) {
+func (l *leases) drop(id control.Lease) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.held.ID == id {
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -144,7 +144,7 @@
 
 // assembleLinks makes the clients and what is known of the targets.
 func (e *Entry) assembleLinks() {
-	e.platform = platform.NewClient(e.settings.Platform, e.timers, platform.WithZone(e.settings.AvailabilityZone))
+	e.platform = platform.NewClient(e.settings.Store, e.settings.Targets, e.timers, platform.WithLog(e.log))
 	e.targets = target.NewClient(e.timers, target.WithLog(e.log))
 	e.catalog = snapshot.New(snapshot.WithTimers(e.timers))
 	e.links = link.NewTable(e.timers, link.WithLog(e.log))
--- a/internal/run/entry/run.go
+++ b/internal/run/entry/run.go
@@ -9,6 +9,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 )
 
 // service is a supervised part of an instance.
@@ -66,6 +67,7 @@
 		{"target poll", e.runPoll},
 		{"platform list", e.list.Run},
 		{"target reports", e.poller.Run},
+		{"registration", e.register},
 	} {
 		supervisor.Add(s)
 	}
@@ -73,6 +75,13 @@
 	return supervisor
 }
 
+// register keeps this instance registered in the store until it stops, so that new instances find a peer.
+func (e *Entry) register(ctx context.Context) error {
+	return control.NewRegistration(e.settings.Store, control.Instance{
+		Name: e.settings.Name, Peer: e.settings.Peer, AvailabilityZone: string(e.settings.AvailabilityZone), Processor: 1,
+	}, e.timers, e.log).Run(ctx)
+}
+
 // stop finishes what is in flight. The order matters: the balancer and the peers stop sending before the wait begins.
 func (e *Entry) stop(ctx context.Context) {
 	e.log.Log(event.InstanceStopping, "InFlight", e.callers.InFlight())
@@ -91,7 +100,6 @@
 func (e *Entry) close() {
 	e.targets.Close()
 	e.peers.Close()
-	e.platform.Close()
 	e.listeners.close()
 	_ = e.metrics.Shutdown(context.Background())
 }
--- a/internal/run/entry/settings.go
+++ b/internal/run/entry/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/world/zone"
 )
 
@@ -59,9 +60,10 @@
 	Caller   netip.AddrPort
 	Peer     netip.AddrPort
 	Operator netip.AddrPort
-	// Platform is the address of the platform's services.
-	Platform netip.AddrPort
-	// Seeds are peers to join through, beside those of the platform's list.
+	// Store is the platform's store, and Targets lists the targets that are registered with the platform.
+	Store   control.OwnStore
+	Targets control.TargetSource
+	// Seeds are peers to join through, beside those that are registered in the store.
 	Seeds []netip.AddrPort
 	// Limit is the way in which instances share a target's slots.
 	Limit Limit
--- a/internal/tier/control/gate.go
+++ b/internal/tier/control/gate.go
@@ -134,9 +134,27 @@
 	revision uint64
 }
 
+// granted is the result of a call that creates a lease.
+type granted struct {
+	lease Lease
+	ttl   time.Duration
+}
+
 // Own returns store with its calls through the gate.
 func (g *Gate) Own(store OwnStore) OwnStore {
 	return OwnStore{
+		Get: func(ctx context.Context, key string) (Entry, uint64, error) {
+			l, err := gated(ctx, g, false, func() (listing, error) {
+				entry, revision, err := store.Get(ctx, key)
+
+				return listing{entries: []Entry{entry}, revision: revision}, err
+			})
+			if err != nil {
+				return Entry{}, 0, err
+			}
+
+			return l.entries[0], l.revision, nil
+		},
 		List: func(ctx context.Context, prefix string) ([]Entry, uint64, error) {
 			l, err := gated(ctx, g, false, func() (l listing, err error) {
 				l.entries, l.revision, err = store.List(ctx, prefix)
@@ -158,8 +176,14 @@
 		Commit: func(ctx context.Context, t Transaction) (uint64, error) {
 			return gated(ctx, g, false, func() (uint64, error) { return store.Commit(ctx, t) })
 		},
-		Grant: func(ctx context.Context, ttl time.Duration) (Lease, error) {
-			return gated(ctx, g, false, func() (Lease, error) { return store.Grant(ctx, ttl) })
+		Grant: func(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error) {
+			l, err := gated(ctx, g, false, func() (l granted, err error) {
+				l.lease, l.ttl, err = store.Grant(ctx, ttl)
+
+				return l, err
+			})
+
+			return l.lease, l.ttl, err
 		},
 		Renew: func(ctx context.Context, lease Lease) error {
 			_, err := gated(ctx, g, false, func() (Lease, error) { return lease, store.Renew(ctx, lease) })
--- a/internal/tier/control/lead.go
+++ b/internal/tier/control/lead.go
@@ -241,7 +241,7 @@
 // begin takes the key of the leader and brings the mirror up to date.
 func (t *term) begin(ctx context.Context) error {
 	return t.call(ctx, func(ctx context.Context) (err error) {
-		if t.lease, err = t.store.Grant(ctx, leaderTTL); err != nil {
+		if t.lease, _, err = t.store.Grant(ctx, leaderTTL); err != nil {
 			return err
 		}
 		if t.revision, err = t.claim(ctx, t.revision, false); err != nil {
--- a/internal/tier/control/register.go
+++ b/internal/tier/control/register.go
@@ -6,58 +6,72 @@
 	"errors"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 )
 
-// Register keeps the instance registered until ctx ends, and then removes it.
-func (f *Fleet) Register(ctx context.Context) error {
-	value, err := json.Marshal(f.self)
+// Registration keeps an instance registered in the store, under a lease.
+type Registration struct {
+	store  OwnStore
+	self   Instance
+	timers *timer.Service
+	log    *event.Log
+}
+
+// NewRegistration returns the registration of self.
+func NewRegistration(store OwnStore, self Instance, timers *timer.Service, log *event.Log) *Registration {
+	return &Registration{store: store, self: self, timers: timers, log: log}
+}
+
+// Run keeps the instance registered until ctx ends, and then removes it.
+func (r *Registration) Run(ctx context.Context) error {
+	value, err := json.Marshal(r.self)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	backoff := newBackoff(f.timers)
+	backoff := newBackoff(r.timers)
 	var lease Lease
 	for ctx.Err() == nil {
-		err := f.keepRegistered(ctx, &lease, value)
+		err := r.keep(ctx, &lease, value)
 		if err != nil {
-			f.log.Log(event.RegistrationFailed, "Error", err)
+			r.log.Log(event.RegistrationFailed, "Error", err)
 			backoff.sleep(ctx)
 
 			continue
 		}
 		backoff.reset()
 		select {
-		case <-f.timers.After(instanceRenew):
+		case <-r.timers.After(instanceRenew):
 		case <-ctx.Done():
 		}
 	}
 	if lease != 0 {
-		ending, cancel := f.timers.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+		ending, cancel := r.timers.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 		defer cancel()
-		if err := f.store.End(ending, lease); err != nil {
-			f.log.Log(event.RegistrationFailed, "Error", err)
+		if err := r.store.End(ending, lease); err != nil {
+			r.log.Log(event.RegistrationFailed, "Error", err)
 		}
 	}
 
 	return ctx.Err()
 }
 
-// keepRegistered renews the lease, or registers under a new one.
-func (f *Fleet) keepRegistered(ctx context.Context, lease *Lease, value []byte) (err error) {
-	ctx, cancel := f.timers.WithTimeout(ctx, callTimeout)
+// keep renews the lease, or registers under a new one.
+func (r *Registration) keep(ctx context.Context, lease *Lease, value []byte) (err error) {
+	ctx, cancel := r.timers.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if *lease != 0 {
-		err := f.store.Renew(ctx, *lease)
+		err := r.store.Renew(ctx, *lease)
 		if !errors.Is(err, ErrLeaseEnded) {
 			return err
 		}
 		*lease = 0
 	}
-	granted, err := f.store.Grant(ctx, instanceTTL)
+	granted, _, err := r.store.Grant(ctx, instanceTTL)
 	if err != nil {
 		return err
 	}
-	if _, err = f.store.Commit(ctx, Transaction{
-		Puts: []Put{{Key: instancePrefix + f.self.Name, Value: value, Lease: granted}},
+	if _, err = r.store.Commit(ctx, Transaction{
+		Puts: []Put{{Key: InstanceKey(r.self.Name), Value: value, Lease: granted}},
 	}); err != nil {
 		return err
 	}
@@ -65,3 +79,26 @@
 
 	return nil
 }
+
+// Register keeps the instance registered until ctx ends, and then removes it.
+func (f *Fleet) Register(ctx context.Context) error {
+	return NewRegistration(f.store, f.self, f.timers, f.log).Run(ctx)
+}
+
+// InstanceKey is the key at which the instance with this name registers.
+func InstanceKey(name string) string { return instancePrefix + name }
+
+// Instances returns the instances that are registered. Registrations that cannot be used are logged and left out.
+func Instances(ctx context.Context, store OwnStore, log *event.Log) (instances []Instance, err error) {
+	entries, _, err := store.List(ctx, instancePrefix)
+	if err != nil {
+		return nil, err
+	}
+	for i := range entries {
+		if instance, ok := take[Instance](log, &entries[i]); ok {
+			instances = append(instances, instance)
+		}
+	}
+
+	return instances, nil
+}
--- a/internal/wire/platform/platform.go
+++ b/internal/wire/platform/platform.go
@@ -1,27 +1,31 @@
-// Package platform speaks to the platform's key-value store and its list of instances and targets.
+// Package platform is what `serve` uses of the platform: single keys of its store, and a list of instances and targets. The calls
+// themselves are those of control.OwnStore and control.TargetSource, which the adapter for a platform provides.
 //
-// It is the only package that knows that protocol. The store gives compare-and-swap, leases and watches, and has
-// outages. A write whose reply is lost is neither done nor undone for the writer, so errors tell three cases apart:
+// The store gives compare-and-swap, leases and watches, and has outages. A write whose reply is lost is neither done nor undone
+// for the writer, so errors tell three cases apart:
 //
 //	ErrConflict     the expected version was not the current one; nothing was written
-//	ErrUnavailable  the request did not reach the store; nothing was written
+//	ErrUnavailable  the store did not take the request; nothing was written
 //	ErrUnknown      the request may have reached the store; the write may be in effect now or later
 //
 // ErrLeaseLapsed means that the lease is gone and that nothing was written. Any other error means that the call was refused
-// as wrong and had no effect. The client decides between ErrUnavailable and ErrUnknown by whether a byte of the request was
-// written to a connection, and never sends a write twice.
+// as wrong and had no effect.
 //
-//	client := platform.NewClient(address, timers)
+//	client := platform.NewClient(store.Own(), store.Targets(), timers)
 //	version, err := client.CompareAndSwap(ctx, "Claims/17", token, 0, lease)
 package platform
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/zeebo/errs"
 
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/world/zone"
 )
 
@@ -36,8 +40,12 @@
 	ErrLeaseLapsed = errors.New("the lease has lapsed")
 )
 
-// MaxValueBytes is the largest value that the store holds.
-const MaxValueBytes = 1 << 20
+const (
+	// MaxValueBytes is the largest value that the store holds.
+	MaxValueBytes = 1 << 20
+	// MaxKeyBytes is the longest key that the users' platform takes. It leaves room for a RequestID of 128 bytes and a prefix.
+	MaxKeyBytes = 200
+)
 
 // Entry is a key of the store with its value. Version 0 means that the key is absent.
 type Entry struct {
@@ -46,12 +54,10 @@
 	Version uint64
 }
 
-// LeaseID identifies a lease of the store. The zero value is no lease.
-type LeaseID string
-
 // Lease is a granted lease.
 type Lease struct {
-	ID LeaseID
+	// ID is 0 for no lease.
+	ID control.Lease
 	// TTL is how long the lease lasts without renewal.
 	TTL time.Duration
 }
@@ -82,3 +88,20 @@
 	AvailabilityZone zone.Zone
 	State            State
 }
+
+// CheckKey returns an error if key is not a valid key of the store.
+func CheckKey(key string) error {
+	switch {
+	case key == "" || len(key) > MaxKeyBytes:
+		return fmt.Errorf("key: has %d bytes, 1 to %d are accepted", len(key), MaxKeyBytes)
+	case !utf8.ValidString(key):
+		return errors.New("key: is not valid UTF-8")
+	}
+	for _, r := range key {
+		if unicode.IsControl(r) {
+			return fmt.Errorf("key: contains the control character %U", r)
+		}
+	}
+
+	return nil
+}
--- a/internal/world/contract/bounds.go
+++ b/internal/world/contract/bounds.go
@@ -15,7 +15,7 @@
 	MaxReplicas = 4096
 	// MaxNameLength is the largest length of the names of services and callers. Both become metric labels.
 	MaxNameLength = 63
-	// MaxDeadline is far below the 10 minutes of a claim's lease, so that no claim ends before its request.
+	// MaxDeadline is far below the 8 minutes that a claim lasts, so that no claim ends before its request.
 	MaxDeadline = time.Minute
 	// MaxPageSize is the largest number of hits that a caller may request.
 	MaxPageSize = 1000
