--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -46,15 +46,22 @@
 	portRange = 12000
 )
 
-// freePorts returns ports that nothing listens on.
-func freePorts(n int) (out []netip.AddrPort, err error) {
+// ownAddress returns an address on loopback that no other instance uses, of this run or of another one at the same time.
+func ownAddress(instance int) netip.Addr {
+	pid := os.Getpid()
+
+	return netip.AddrFrom4([4]byte{127, byte(1 + pid/250%250), byte(1 + pid%250), byte(1 + instance)})
+}
+
+// freePorts returns ports of an address that nothing listens on.
+func freePorts(address netip.Addr, n int) (out []netip.AddrPort, err error) {
 	for tries := 0; len(out) < n && tries < portRange; tries++ {
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(portRange)))
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address.String())
+		port := netip.AddrPortFrom(address, uint16(firstPort+rand.IntN(portRange)))
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", port.String())
 		if err != nil {
 			continue
 		}
-		out = append(out, address)
+		out = append(out, port)
 		if err := l.Close(); err != nil {
 			return nil, err
 		}
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -98,7 +98,7 @@
 }
 
 func (r *run) start(n int) error {
-	ports, err := freePorts(4)
+	ports, err := freePorts(ownAddress(n), 4)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -128,7 +128,7 @@
 func WriteSettings(dir string, i int, zone, storeAddress string, ports []netip.AddrPort) (path string, err error) {
 	path = filepath.Join(dir, fmt.Sprintf("instance-%d.toml", i))
 	text := fmt.Sprintf(`nodeName = "instance-%d"
-ip = "127.0.0.1"
+ip = %q
 zone = %q
 region = %q
 internalPorts = [%d, %d]
@@ -152,7 +152,7 @@
 retrySlack = 56
 [platform]
 address = %q
-`, i, zone, zone, min(ports[0].Port(), ports[1].Port()), max(ports[0].Port(), ports[1].Port()), ports[2], ports[3], storeAddress)
+`, i, ports[0].Addr(), zone, zone, min(ports[0].Port(), ports[1].Port()), max(ports[0].Port(), ports[1].Port()), ports[2], ports[3], storeAddress)
 
 	return path, os.WriteFile(path, []byte(text), 0o600)
 }
