Count a sample as twice the pace of a replica at most

A trial that noted each choice showed why: the nearest replica was idle, but the average of its times stood at 60 ms to 100 ms for one or two seconds after a single request had met its pause of 250 ms. Change: choice.Pace, used by the product and the emulator, counts a sample as at most twice the average, with a weight of 0.3 instead of 0.2. A pause moves it by a third; a replica that has become six times slower is left within five samples. The age is that of the route's own samples. Test: one pause does not move parts to another region (failed before); a slow replica is still left.

--- a/internal/decision/choice/choice_test.go
+++ b/internal/decision/choice/choice_test.go
@@ -67,3 +67,30 @@
 		Expect(choice.Choose(replicas, place, nil).Index).To(Equal(0))
 	})
 })
+
+var _ = Describe("Pace", func() {
+	start := time.Unix(0, 0)
+	// after returns the average of a replica that took 20 ms, and then the samples.
+	after := func(samples ...time.Duration) time.Duration {
+		var p choice.Pace
+		for i := range 20 {
+			p.Observe(20*ms, start.Add(time.Duration(i)*100*ms))
+		}
+		for i, s := range samples {
+			p.Observe(s, start.Add(2*time.Second+time.Duration(i)*100*ms))
+		}
+
+		return p.Value()
+	}
+
+	It("does not send parts to another region after one pause, whose bytes are paid for", func() {
+		replicas := []choice.Facts{replica("Kochi", after(250*ms)), replica("Vitoria", 42*ms)}
+		Expect(choice.Choose(replicas, place, nil).Index).To(Equal(0))
+	})
+
+	It("leaves a replica that has become six times slower within a few samples", func() {
+		slow := 120 * ms
+		replicas := []choice.Facts{replica("Kochi", after(slow, slow, slow, slow, slow)), replica("Vitoria", 42*ms)}
+		Expect(choice.Choose(replicas, place, nil).Index).To(Equal(1))
+	})
+})
--- a/internal/emulator/replay/query.go
+++ b/internal/emulator/replay/query.go
@@ -194,7 +194,7 @@
 	}
 	for _, other := range s.shards[n] {
 		if other != r {
-			f.Second = q.gatherer.link(other).pace
+			f.Second = q.gatherer.link(other).pace.Value()
 		}
 	}
 
--- a/internal/emulator/replay/world.go
+++ b/internal/emulator/replay/world.go
@@ -8,8 +8,8 @@
 	"github.com/hickorynotch/hickorynotch/internal/decision/hedging"
 )
 
-// paceWeight is the weight of a new sample in the moving average of a replica's time.
-const paceWeight = 0.3
+// failureWeight is the weight of a new sample in the moving average of a replica's failures.
+const failureWeight = 0.3
 
 // instance is a machine of the query tier.
 type instance struct {
@@ -30,8 +30,7 @@
 type link struct {
 	sent    []time.Duration // requests in flight
 	replied time.Duration
-	pace    time.Duration
-	paceAt  time.Duration
+	pace    choice.Pace
 	load    int
 	loadAt  time.Duration
 	failed  float64
@@ -127,7 +126,7 @@
 func (i *instance) facts(r *replica, now time.Duration) choice.Facts {
 	l := i.link(r)
 	f := choice.Facts{
-		AvailabilityZone: r.zone, Slots: r.sim.pattern.Targets.Slots, InFlight: len(l.sent), Pace: l.pace, PaceAge: now - l.paceAt,
+		AvailabilityZone: r.zone, Slots: r.sim.pattern.Targets.Slots, InFlight: len(l.sent), Pace: l.pace.Value(), PaceAge: l.pace.Age(epoch.Add(now)),
 		Reported: l.load, ReportAge: now - l.loadAt, Failures: l.failed,
 	}
 	if len(l.sent) > 0 {
@@ -146,18 +145,14 @@
 			break
 		}
 	}
-	l.failed *= 1 - paceWeight
+	l.failed *= 1 - failureWeight
 	if !ok {
-		l.failed += paceWeight
+		l.failed += failureWeight
 
 		return
 	}
-	took := now - sent
-	if l.pace == 0 {
-		l.pace = took
-	}
-	l.pace += time.Duration(paceWeight * float64(took-l.pace))
-	l.paceAt, l.replied = now, now
+	l.pace.Observe(now-sent, epoch.Add(now))
+	l.replied = now
 }
 
 // receive runs next once the instance has taken a message of some bytes that needs some work of a whole core.
--- a/internal/tier/target/link.go
+++ b/internal/tier/target/link.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// paceWeight is the weight of a new sample in the moving average of the times that requests take.
-	paceWeight = 0.2
 	// failureWeight is the weight of a new sample in the moving average of failures.
 	failureWeight = 0.2
 	// failureDecay is the time in which the average of failures halves without new ones. The shortest faults of targets last a
@@ -37,8 +35,7 @@
 	waiters []chan *conn
 	// active holds the start times of the requests in flight, oldest first.
 	active  []time.Time
-	pace    map[string]time.Duration
-	paceAt  time.Time
+	pace    map[string]*choice.Pace
 	load    Load
 	loadAt  time.Time
 	fails   float64
@@ -56,7 +53,7 @@
 		address: t.Address,
 		target:  t,
 		seen:    f.timers.Now(),
-		pace:    make(map[string]time.Duration),
+		pace:    make(map[string]*choice.Pace),
 	}
 }
 
@@ -117,16 +114,15 @@
 		AvailabilityZone: l.target.AvailabilityZone,
 		Slots:            l.target.Slots,
 		InFlight:         len(l.active),
-		Pace:             l.pace[route],
 		Failures:         l.failures(now),
 		Warmup:           max(0, l.target.Warmup-now.Sub(l.seen)),
 	}
+	if p := l.pace[route]; p != nil {
+		facts.Pace, facts.PaceAge = p.Value(), p.Age(now)
+	}
 	if len(l.active) > 0 {
 		facts.Silent = now.Sub(latest(l.replied, l.active[0]))
 	}
-	if !l.paceAt.IsZero() {
-		facts.PaceAge = now.Sub(l.paceAt)
-	}
 	if !l.loadAt.IsZero() {
 		facts.Reported = l.load.Running + l.load.Waiting
 		facts.ReportAge = now.Sub(l.loadAt)
@@ -177,7 +173,7 @@
 	}
 	if result.Cancelled {
 		// The attempt lost to another or its caller left. How long it took so far is a lower bound of its time.
-		if took := now.Sub(started); took > l.pace[call.Route] {
+		if took, p := now.Sub(started), l.pace[call.Route]; p == nil || took > p.Value() {
 			l.observe(call.Route, took)
 		}
 
@@ -202,14 +198,15 @@
 
 // observe adds a sample to the moving average of a route. The lock is held.
 func (l *Link) observe(route string, took time.Duration) {
-	old, ok := l.pace[route]
-	switch {
-	case ok:
-		l.pace[route] = old + time.Duration(paceWeight*float64(took-old))
-	case len(l.pace) < maxRoutes:
-		l.pace[route] = took
-	}
-	l.paceAt = l.fleet.timers.Now()
+	p := l.pace[route]
+	if p == nil {
+		if len(l.pace) >= maxRoutes {
+			return
+		}
+		p = &choice.Pace{}
+		l.pace[route] = p
+	}
+	p.Observe(took, l.fleet.timers.Now())
 }
 
 // noteMoved takes the target out of use until its entry changes, because another process answers at its address.
