Keep no connections open to targets that accept fewer than there are instances

Change: placement.Connections gives each instance its share, and says that none is kept open where the share is below one; requests still open one. Test: 301 holders of a target that accepts 26 keep none.

--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -96,3 +96,17 @@
 		Expect(placement.Groups(zones, place, 0, func(string) bool { return false })).To(BeEmpty())
 	})
 })
+
+var _ = DescribeTable("Connections",
+	func(accepted, holders, expected int, keep bool) {
+		n, kept := placement.Connections(accepted, holders)
+		Expect(n).To(Equal(expected))
+		Expect(kept).To(Equal(keep))
+		if kept {
+			Expect(n * holders).To(BeNumerically("<=", accepted))
+		}
+	},
+	Entry("shares them among the instances of a small site", 26, 9, 2, true),
+	Entry("shares them among the strong instances of a grown site", 62, 13, 4, true),
+	Entry("keeps none open where a target accepts fewer than there are instances, which it would reset for ever", 26, 301, 1, false),
+)
--- a/internal/tier/node/fleet.go
+++ b/internal/tier/node/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
+	"github.com/hickorynotch/hickorynotch/internal/decision/placement"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
@@ -80,27 +81,35 @@
 
 // connections returns how many connections this instance may hold to each target of a service.
 func (n *Node) connections(service string) int {
+	connections, _ := n.connectionShare(service)
+
+	return connections
+}
+
+// connectionShare returns this instance's share of the connections of each target of a service, and whether it may keep one open.
+func (n *Node) connectionShare(service string) (connections int, keep bool) {
 	table, s := n.configuration.Current(), n.shares.Load()
 	if table == nil {
-		return 1
+		return 1, false
 	}
 	described, ok := table.Service(service)
 	if !ok || described.MaxConnections <= 0 {
-		return 1
+		return 1, true
 	}
 	holders := s.instances + spareGatherers
 	if gatherers := s.gatherers[service]; gatherers > 0 {
 		holders = gatherers + spareGatherers
 	}
 
-	return max(1, int(connectionShare*float64(described.MaxConnections))/holders)
+	return placement.Connections(described.MaxConnections, holders)
 }
 
-// gathers reports whether this instance is likely to gather parts of a service.
+// gathers reports whether this instance is likely to gather parts of a service and may keep connections for it.
 func (n *Node) gathers(service string) bool {
 	s := n.shares.Load()
+	_, keep := n.connectionShare(service)
 
-	return s.strong && s.gatherers[service] > 0 && !n.stopping.Load()
+	return keep && s.strong && s.gatherers[service] > 0 && !n.stopping.Load()
 }
 
 // budget returns the bounds for extra requests to a service. Gatherers send nearly all requests for shards, so most of the
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -48,9 +48,6 @@
 	targetPeriod = time.Second
 	// settleShare is the share of the bound for a new configuration in which further versions are collected.
 	settleShare = 10
-	// connectionShare is the share of the connections accepted by a target that the fleet uses; the rest is for instances that
-	// start.
-	connectionShare = 0.9
 	// defaultReturnPath is the time between the objective of a caller and the end of a gathered query here: opening a
 	// connection and sending a request takes 9 ms at 3 ms each way, the answer 3 ms.
 	defaultReturnPath = 20 * time.Millisecond
