--- a/cmd/hickorynotch/gateway.go
+++ b/cmd/hickorynotch/gateway.go
@@ -31,7 +31,7 @@
 func (*gatewayCommand) Name() string     { return "gateway" }
 func (*gatewayCommand) Synopsis() string { return "run an instance of the query tier on a platform" }
 func (*gatewayCommand) Usage() string {
-	return `gateway [-settings FILE]:
+	return `gateway -settings FILE [-metrics-port N]:
   Serve callers by the configuration and the targets that are registered with the
   platform, until SIGTERM or SIGINT, then stop gracefully.
 `
--- /dev/null
+++ b/internal/emulator/pattern/pattern_test.go
@@ -0,0 +1,54 @@
+package pattern_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/emulator/pattern"
+)
+
+func TestPattern(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pattern")
+}
+
+const folder = "../../../patterns"
+
+var _ = Describe("Load", func() {
+	It("reads every pattern of the repository, so that a file that is named in the docs can be replayed", func() {
+		files, err := filepath.Glob(folder + "/*.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).NotTo(BeEmpty())
+		for _, file := range files {
+			p, err := pattern.Load(file)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(p.Name + ".yaml").To(Equal(filepath.Base(file)))
+		}
+	})
+
+	DescribeTable("names the file and the path of a fault, which would otherwise give figures of another load",
+		func(old, changed string, faults ...string) {
+			good, err := os.ReadFile(folder + "/pauses.yaml")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(good)).To(ContainSubstring(old))
+			path := filepath.Join(GinkgoT().TempDir(), "changed.yaml")
+			Expect(os.WriteFile(path, []byte(strings.Replace(string(good), old, changed, 1)), 0o600)).To(Succeed())
+			_, err = pattern.Load(path)
+			Expect(err).To(HaveOccurred())
+			for _, fault := range append(faults, "changed.yaml") {
+				Expect(err.Error()).To(ContainSubstring(fault))
+			}
+		},
+		Entry("an unknown field", "Slots: 2", "Slot: 2", "Slot"),
+		Entry("a duration without a unit", "Work: 20ms", "Work: 20", "Work"),
+		Entry("a rate that is not positive", "ASecond: 30", "ASecond: 0", "Queries.ASecond: must be positive"),
+		Entry("a zone that is not listed", "[Kochi, Thrissur]", "[Kochi, Paris]", `Targets.AvailabilityZones[1]: "Paris" is not one of Zones`),
+		Entry("a pause that never ends", "PauseLength: 250ms", "PauseLength: 7s", "Targets.PauseLength: 7s is not below PauseEvery"),
+		Entry("a deadline below the objective", "Deadline: 2s", "Deadline: 100ms", "Queries.Deadline: 100ms is below the Objective of 200ms"),
+	)
+})
--- a/internal/tier/target/target_test.go
+++ b/internal/tier/target/target_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
@@ -31,9 +33,14 @@
 		return fmt.Appendf(head, "Left: %d\r\nMeant: %s\r\n", remaining.Milliseconds(), id)
 	},
 	DecodeReply: func(header http.Header) (target.Reply, error) {
-		return target.Reply{
+		reply := target.Reply{
 			Stamp: header.Get("Stamp"), RequestID: header.Get("Request"), NotRun: header.Get("Not-Run") != "",
-		}, nil
+		}
+		if load := header.Get("Load"); load != "" {
+			reply.Fault = fmt.Errorf("Load: %q", load)
+		}
+
+		return reply, nil
 	},
 }
 
@@ -163,6 +170,16 @@
 			"HTTP/1.1 500 Failed\r\nRequest: r1\r\nContent-Length: 0\r\n\r\n", target.Answered, false),
 	)
 
+	It("uses a response whose report of load cannot be read, and logs the header, so that its absence can be explained", func() {
+		s := serve(func(_ int, id string) string {
+			return strings.Replace(ok(id, "body"), "Stamp: s", "Stamp: s\r\nLoad: many", 1)
+		})
+		var lines bytes.Buffer
+		result := link(s, target.WithLog(event.New(&lines, time.Now))).Send(call("r1"), &target.Cancel{})
+		Expect(result.Success()).To(BeTrue())
+		Expect(lines.String()).To(And(ContainSubstring("Name=HeadersRejected"), ContainSubstring("many"), ContainSubstring("Request=r1")))
+	})
+
 	It("skips a late response to an earlier request, so that no caller gets another's answer", func() {
 		s := serve(func(n int, id string) string {
 			if n == 2 {
