--- a/internal/wire/platform/client_test.go
+++ b/internal/wire/platform/client_test.go
@@ -229,12 +229,18 @@
 		Expect(store.UpdateList(standin.Update{Entries: []platform.Listed{target}})).To(Succeed())
 		Expect(client.List(ctx)).To(BeEmpty())
 		clock.Advance(3 * time.Second)
-		Expect(client.List(ctx)).To(Equal([]platform.Listed{target}))
+		// The clock runs what is due in goroutines of their own.
+		Eventually(ctx, func() ([]platform.Listed, error) { return client.List(ctx) }).Should(Equal([]platform.Listed{target}))
 
 		store.SetFaults(standin.Fault{FreezeList: true})
 		target.State = platform.Leaving
 		Expect(store.UpdateList(standin.Update{Entries: []platform.Listed{target}})).To(Succeed())
 		clock.Advance(time.Minute)
+		Eventually(ctx, func() (string, error) {
+			entry, _, err := store.Store().Own().Get(ctx, operator.EntryKey(target.Name))
+
+			return string(entry.Value), err
+		}).Should(ContainSubstring("draining"))
 		Expect(client.List(ctx)).To(HaveExactElements(HaveField("State", platform.Live)))
 		store.SetFaults()
 		Expect(client.List(ctx)).To(Equal([]platform.Listed{target}))
