choice: measure the round-trip times to availability zones

Cause: the time to another region was assumed to be 22 ms. Change: Place has RoundTrips, estimated from the time in which peers accept queries. The accept timeout, the elapsed time that is sent to a peer and the cost of replicas without samples follow them. The test of handover fails with the old timeout of 85 ms.

--- a/internal/decision/choice/choice.go
+++ b/internal/decision/choice/choice.go
@@ -77,6 +77,8 @@
 	Region           string
 	// Regions maps availability zones to regions.
 	Regions map[string]string
+	// RoundTrips holds measured round-trip times. Nil means that only the usual ones are known.
+	RoundTrips *RoundTrips
 }
 
 // Distance is the network distance between this instance and an availability zone.
@@ -145,9 +147,8 @@
 		if skip != nil && skip(i) {
 			continue
 		}
-		distance := place.Distance(replicas[i].AvailabilityZone)
-		nearest = min(nearest, distance)
-		cost := replicas[i].cost(distance, fastest)
+		nearest = min(nearest, place.Distance(replicas[i].AvailabilityZone))
+		cost := replicas[i].cost(place, fastest)
 		if best.Index < 0 || cost < best.Cost {
 			best.Index, best.Cost = i, cost
 		}
@@ -179,7 +180,7 @@
 
 // cost estimates the response time of the replica and adds penalties for failures and for the price of the traffic. fastest is the
 // lowest average response time of all replicas.
-func (f *Facts) cost(distance Distance, fastest time.Duration) time.Duration {
+func (f *Facts) cost(place Place, fastest time.Duration) time.Duration {
 	expected := f.ResponseTime
 	if expected == 0 {
 		expected = fastest
@@ -205,7 +206,7 @@
 		cost += remainingPause
 	}
 	cost += time.Duration(f.Failures * float64(FailureCost))
-	switch distance {
+	switch place.Distance(f.AvailabilityZone) {
 	case SameRegion:
 		cost += zoneTrafficCost
 	case OtherRegion:
@@ -213,7 +214,7 @@
 	}
 	if f.ResponseTime == 0 {
 		// Measured response times include the round trip already.
-		cost += distance.RoundTrip()
+		cost += place.RoundTrip(f.AvailabilityZone)
 	}
 
 	return cost
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -70,14 +70,14 @@
 // small additional cost for a candidate. It differs between the instances that call Choose, so that equal candidates receive equal
 // load.
 func Choose(own Candidate, candidates []Candidate, q Query, place choice.Place, jitter func(i int) time.Duration) Verdict {
-	best := Verdict{Index: -1, Cost: own.gatherCost(q)}
+	best := Verdict{Index: -1, Cost: own.gatherCost(q, place)}
 	best.OwnCost = best.Cost
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Excluded {
 			continue
 		}
-		cost := c.gatherCost(q) + c.handoverCost(own, place.Distance(c.AvailabilityZone)) + jitter(i)
+		cost := c.gatherCost(q, place) + handoverCost(own, place.RoundTrip(c.AvailabilityZone)) + jitter(i)
 		if cost < best.Cost {
 			best.Index, best.Cost = i, cost
 		}
@@ -87,7 +87,7 @@
 }
 
 // gatherCost estimates the cost of gathering the query at the instance.
-func (c *Candidate) gatherCost(q Query) time.Duration {
+func (c *Candidate) gatherCost(q Query, place choice.Place) time.Duration {
 	processorTime := float64(q.Shards*(1+c.Active)) * float64(partProcessorTime)
 	cost := time.Duration(processorTime / max(c.Processor, 0.01))
 	if c.LinkBits > 0 {
@@ -100,15 +100,15 @@
 		cost += choice.SameRegion.RoundTrip()
 	}
 	if q.Shards > region {
-		cost += choice.OtherRegion.RoundTrip()
+		cost += place.RegionRoundTrip()
 	}
 
 	return cost + time.Duration(c.Failures*float64(choice.FailureCost))
 }
 
-// handoverCost estimates the cost of handing over the query from own to the candidate.
-func (c *Candidate) handoverCost(own Candidate, distance choice.Distance) time.Duration {
-	return time.Duration(float64(handoverProcessorTime)/max(own.Processor, 0.01)) + distance.RoundTrip()
+// handoverCost estimates the cost of handing over the query from own to a candidate at the given round-trip time.
+func handoverCost(own Candidate, roundTrip time.Duration) time.Duration {
+	return time.Duration(float64(handoverProcessorTime)/max(own.Processor, 0.01)) + roundTrip
 }
 
 // Gatherers counts the instances that are likely to gather queries for others, and reports whether own is one of them. A gatherer
--- a/internal/tier/handover/handover.go
+++ b/internal/tier/handover/handover.go
@@ -33,16 +33,14 @@
 	// partBytes is the assumed size of a part with its headers on the wire. It lies between the sizes of the users' two kinds of
 	// queries.
 	partBytes = 700
-	// regionAcceptTimeout and remoteAcceptTimeout bound the wait until a peer accepts a query, in the local region and in
-	// another one. They cover the two round trips that a new connection needs, of 24 ms each between regions, and the delay at
-	// small instances.
-	regionAcceptTimeout = 35 * time.Millisecond
-	remoteAcceptTimeout = 85 * time.Millisecond
-	// regionRoundTrip and remoteRoundTrip are the round-trip times to a peer, in the local region and in another one, including the
-	// delay at small instances. They are added to the time that the caller has waited, which is sent with the query, so that the
-	// peer answers early enough.
-	regionRoundTrip = choice.ZoneDelay + time.Millisecond
-	remoteRoundTrip = choice.RegionDelay + 4*time.Millisecond
+	// acceptRoundTrips and acceptMargin bound the wait until a peer accepts a query: the round trips that a new connection needs,
+	// and the delay at small instances.
+	acceptRoundTrips = 2
+	acceptMargin     = 35 * time.Millisecond
+	// sameRegionDelay and otherRegionDelay are the delays at small instances that are added to the round-trip time. The sum is added
+	// to the time that the caller has waited, which is sent with the query, so that the peer answers early enough.
+	sameRegionDelay  = time.Millisecond
+	otherRegionDelay = 4 * time.Millisecond
 	// answerMargin is subtracted from the time that a peer may take, so that its answer arrives before the deadline.
 	answerMargin = 15 * time.Millisecond
 	// minExclusion and maxExclusion bound the time for which a peer is excluded after a failure. It doubles with each consecutive
@@ -117,6 +115,9 @@
 	self control.Instance, place choice.Place, client *peer.Client, timers *timer.Service,
 	gather func(ctx context.Context, q *dispatch.Query) dispatch.Answer, options ...Option,
 ) *Handover {
+	if place.RoundTrips == nil {
+		place.RoundTrips = choice.NewRoundTrips()
+	}
 	h := &Handover{
 		self: self, place: place, client: client, timers: timers, gather: gather,
 		onNewerConfiguration: func(uint64) {},
@@ -302,9 +303,12 @@
 	ctx context.Context, q *dispatch.Query, i *control.Instance, shards []string, early func(dispatch.Answer),
 ) (reply peer.Reply, err error) {
 	now := h.timers.Now()
-	acceptTimeout, roundTrip := regionAcceptTimeout, regionRoundTrip
+	roundTrip := h.place.RoundTrip(i.AvailabilityZone)
+	acceptTimeout := acceptRoundTrips*roundTrip + acceptMargin
 	if h.place.Distance(i.AvailabilityZone) == choice.OtherRegion {
-		acceptTimeout, roundTrip = remoteAcceptTimeout, remoteRoundTrip
+		roundTrip += otherRegionDelay
+	} else {
+		roundTrip += sameRegionDelay
 	}
 	request := &peer.GatherRequest{
 		RequestID: q.RequestID,
@@ -326,6 +330,9 @@
 	defer cancel()
 
 	reply, err = h.client.Gather(callCtx, i.Peer, request, acceptTimeout, early)
+	if reply.AcceptedAfter > 0 {
+		h.place.RoundTrips.Observe(i.AvailabilityZone, reply.AcceptedAfter)
+	}
 	h.onMirrorRevision(reply.Accepted.Mirror)
 	if errors.Is(err, peer.ErrDeclined) && reply.Accepted.Version > q.Version {
 		h.onNewerConfiguration(reply.Accepted.Version)
--- a/internal/tier/handover/handover_test.go
+++ b/internal/tier/handover/handover_test.go
@@ -42,11 +42,15 @@
 
 // startPeer starts a peer that declines queries with the given reason, or gathers them if the reason is empty.
 func startPeer(declined string, version uint64) netip.AddrPort {
+	return startPreparedPeer(func(*peer.GatherRequest) (*dispatch.Query, string, uint64) {
+		return &dispatch.Query{Route: gatherRoute}, declined, version
+	})
+}
+
+// startPreparedPeer starts a peer that gathers the queries that prepare returns.
+func startPreparedPeer(prepare func(*peer.GatherRequest) (*dispatch.Query, string, uint64)) netip.AddrPort {
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	prepare := func(*peer.GatherRequest) (*dispatch.Query, string, uint64) {
-		return &dispatch.Query{Route: gatherRoute}, declined, version
-	}
 	gather := func(context.Context, *dispatch.Query) dispatch.Answer {
 		return dispatch.Answer{Status: dispatch.Answered, Stamps: []string{"peer"}}
 	}
@@ -66,6 +70,11 @@
 
 // newSmallInstance returns the Handover of a small instance that knows the given peers.
 func newSmallInstance(peers ...control.Instance) *fixture {
+	return newSmallInstanceAt(place, peers...)
+}
+
+// newSmallInstanceAt is newSmallInstance with another place.
+func newSmallInstanceAt(place choice.Place, peers ...control.Instance) *fixture {
 	timers := timer.New()
 	client := peer.NewClient(timers)
 	DeferCleanup(client.Close)
@@ -121,6 +130,32 @@
 		Expect(f.extra).To(Equal([]bool{true}))
 	})
 
+	It("waits for a peer in a region that is farther away than usual, and tells it the time that its answer takes to return", func() {
+		const roundTrip = 60 * time.Millisecond
+		elapsed := make(chan time.Duration, 1)
+		far := instance("far", "Vitoria", 0.8, startPreparedPeer(func(r *peer.GatherRequest) (*dispatch.Query, string, uint64) {
+			time.Sleep(2 * roundTrip)
+			elapsed <- r.Elapsed
+
+			return &dispatch.Query{Route: gatherRoute}, "", 7
+		}))
+		distant := place
+		distant.RoundTrips = choice.NewRoundTrips()
+		distant.RoundTrips.Observe("Vitoria", roundTrip)
+		f := newSmallInstanceAt(distant, far)
+		var targets []*directory.Target
+		for _, shard := range gatherRoute.Gather.Shards {
+			targets = append(targets, &directory.Target{ID: shard, Service: shard, AvailabilityZone: "Vitoria"})
+		}
+		f.handover.SetDirectory(directory.New(targets))
+		groups := f.handover.Groups(query())
+		Expect(groups).To(HaveLen(1))
+		answer, err := groups[0].Run(context.Background(), func(dispatch.Answer) {})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Stamps).To(Equal([]string{"peer"}))
+		Expect(<-elapsed).To(BeNumerically(">=", roundTrip))
+	})
+
 	It("calls OnNewerConfiguration if a peer declines a query because it has a newer configuration in force", func() {
 		f := newSmallInstance(instance("strong", "Kochi", 0.8, startPeer(peer.OtherVersion, 9)))
 		Expect(f.handover.Gather(context.Background(), query()).Stamps).To(Equal([]string{"self"}))
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -154,7 +154,10 @@
 	adapters.Configurations = gate.Configurations(adapters.Configurations)
 	adapters.TargetSource = gate.Targets(adapters.TargetSource)
 	adapters.KeyValueStore = gate.KeyValueStore(adapters.KeyValueStore)
-	place := choice.Place{AvailabilityZone: settings.AvailabilityZone, Region: settings.Region, Regions: settings.Regions}
+	place := choice.Place{
+		AvailabilityZone: settings.AvailabilityZone, Region: settings.Region, Regions: settings.Regions,
+		RoundTrips: choice.NewRoundTrips(),
+	}
 	self := control.Instance{
 		Name: settings.Name, Peer: settings.Peer, AvailabilityZone: settings.AvailabilityZone,
 		Processor: settings.Processor, LinkBits: settings.LinkBits,
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -99,6 +99,8 @@
 	Answer dispatch.Answer
 	// Accepted is the first message of the peer, which accepts or declines the query. It is zero if none was received.
 	Accepted GatherAccepted
+	// AcceptedAfter is the time from sending the request until the peer accepted or declined it, zero if it did neither.
+	AcceptedAfter time.Duration
 	// Active is the number of queries that the peer was gathering when it sent the answer.
 	Active int
 }
@@ -147,12 +149,14 @@
 	request.Elapsed += connectTime
 	request.Left -= connectTime
 	sent = true
+	sentAt := c.timers.Now()
 	if err = stream.MsgSend(request, encoding{}); err != nil {
 		return reply, asNotAccepted(err)
 	}
 	if err = stream.MsgRecv(&reply.Accepted, encoding{}); err != nil {
 		return reply, asNotAccepted(err)
 	}
+	reply.AcceptedAfter = c.timers.Since(sentAt)
 	if !stopAcceptTimer() {
 		return reply, ErrNotAccepted
 	}
