node: answer 504 to requests in flight shortly before the end of a stop

Change: at 0.9 of the stop time, the handler ends the queries in flight and answers 504. Targets may have run them, so the answer is never 503.

--- a/internal/tier/caller/caller_test.go
+++ b/internal/tier/caller/caller_test.go
@@ -102,6 +102,27 @@
 		Entry("a request without an ID", "GET", "/g/1", "", true, 400),
 	)
 
+	It("answers 504 to requests in flight when the process is about to exit, because targets may have run them", func() {
+		respond := func(ctx context.Context, _ *dispatch.Query) dispatch.Answer {
+			<-ctx.Done()
+
+			return dispatch.Answer{Status: dispatch.Abandoned}
+		}
+		h := caller.NewHandler(codec, table, caller.Dispatch{Gather: respond, Forward: respond}, timer.New())
+		first := make(chan int, 1)
+		go func() {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, request("GET", "/g/1", ""))
+			first <- w.Code
+		}()
+		Eventually(h.InFlight).Should(Equal(1))
+		h.EndRequests()
+		Eventually(first).Should(Receive(Equal(http.StatusGatewayTimeout)))
+		late := httptest.NewRecorder()
+		h.ServeHTTP(late, request("GET", "/g/1", ""))
+		Expect(late.Code).To(Equal(http.StatusGatewayTimeout))
+	})
+
 	It("refuses a request over the concurrency limit with 503 and a retry delay, without dispatching it", func() {
 		var h *caller.Handler
 		release := make(chan struct{})
--- a/internal/tier/caller/handler.go
+++ b/internal/tier/caller/handler.go
@@ -69,6 +69,9 @@
 	timeouts timeoutEstimator
 	closing  atomic.Bool
 	inFlight atomic.Int64
+	// ending is done once EndRequests was called.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// maxInFlight is the maximum number of requests that are served concurrently.
 	maxInFlight int
 }
@@ -106,6 +109,7 @@
 	codec Codec, current func() *route.Table, dispatch Dispatch, timers *timer.Service, options ...Option,
 ) *Handler {
 	h := &Handler{codec: codec, current: current, dispatch: dispatch, timers: timers, maxInFlight: defaultLimit}
+	h.ending, h.endRequests = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(h)
 	}
@@ -117,6 +121,10 @@
 // instance.
 func (h *Handler) CloseConnections() { h.closing.Store(true) }
 
+// EndRequests makes the handler answer the requests that are in flight, and those that arrive later, with 504. It is called when the
+// process is about to exit, because a connection that is closed without an answer tells its caller less.
+func (h *Handler) EndRequests() { h.endRequests() }
+
 // InFlight returns the number of requests that are being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
@@ -285,10 +293,20 @@
 	return false
 }
 
-func (h *Handler) dispatchQuery(ctx context.Context, q *dispatch.Query) dispatch.Answer {
+// dispatchQuery has the query answered, but for no longer than until EndRequests is called.
+func (h *Handler) dispatchQuery(callerCtx context.Context, q *dispatch.Query) (answer dispatch.Answer) {
+	ctx, cancel := context.WithCancel(callerCtx)
+	defer cancel()
+	defer context.AfterFunc(h.ending, cancel)()
 	if q.Route.Gather != nil {
-		return h.dispatch.Gather(ctx, q)
+		answer = h.dispatch.Gather(ctx, q)
+	} else {
+		answer = h.dispatch.Forward(ctx, q)
+	}
+	if answer.Status == dispatch.Abandoned && callerCtx.Err() == nil {
+		// The caller is still waiting. Targets may have run the request, so the answer must not say that it was not run.
+		answer.Status, answer.Reason = dispatch.TimedOut, "Stopping"
 	}
 
-	return h.dispatch.Forward(ctx, q)
+	return answer
 }
--- a/internal/tier/node/node_test.go
+++ b/internal/tier/node/node_test.go
@@ -200,4 +200,19 @@
 		Eventually(answered, "2s").Should(Receive(Equal(http.StatusOK)))
 		Eventually(i.ended, "2s").Should(Receive(BeNil()))
 	})
+
+	It("answers 504 to a request that no target has answered by the end of the stop, instead of closing its connection", func() {
+		b := newBackend("s1", "a")
+		b.release = make(chan struct{})
+		DeferCleanup(func() { close(b.release) })
+		i := start(gatherTable("s1"), b)
+		i.stop()
+		// The request comes late in the stop, on a new connection, and its deadline is after the end of the process.
+		time.Sleep(i.settings.StopTimeout / 2)
+		response, _, err := i.get("/page/1", "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(b.ran.Load()).To(BeEquivalentTo(1))
+		Eventually(i.ended, "2s").Should(Receive(BeNil()))
+	})
 })
--- a/internal/tier/node/stop.go
+++ b/internal/tier/node/stop.go
@@ -16,6 +16,8 @@
 	// acceptFraction is the fraction of the stop timeout after which no new connections are accepted. Until then the load balancer
 	// may still open some, if too few other instances are ready.
 	acceptFraction = 0.72
+	// endFraction is the fraction of the stop timeout after which the requests that are still in flight are answered with 504.
+	endFraction = 0.9
 	// exitFraction is the fraction of the stop timeout after which the process exits on its own, before it is terminated by force.
 	exitFraction = 0.95
 	// drainPollInterval is the interval at which drainPeers polls the number of queries in progress.
@@ -24,7 +26,7 @@
 
 // stop shuts the callers' server down gracefully. The instance first reports that it is not ready, then asks callers with each
 // answer to close their connection, then closes the listener and idle connections and waits for the requests in flight and the
-// queries gathered for peers.
+// queries gathered for peers. Requests that no target has answered shortly before the process must exit are answered with 504.
 func (n *Node) stop(callers *http.Server) {
 	begin := n.timers.Now()
 	timeAt := func(fraction float64) time.Time {
@@ -39,6 +41,7 @@
 
 	ctx, cancel := n.timers.WithTimeout(context.Background(), n.timers.Until(timeAt(exitFraction)))
 	defer cancel()
+	defer n.timers.AfterFunc(n.timers.Until(timeAt(endFraction)), n.handler.EndRequests)()
 	err := callers.Shutdown(ctx)
 	n.drainPeers(ctx)
 	n.log.Log(event.InstanceStopped, "InFlight", n.handler.InFlight(), "Error", err)
