--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -9,6 +9,9 @@
 	LeadershipBegan    = declare(1015, "LeadershipBegan", Info, "This instance is now the leader, which reads the targets' entries for the fleet.")
 	LeadershipEnded    = declare(1016, "LeadershipEnded", Warning, "This instance is no longer the leader, which reads the targets' entries for the fleet.")
 
+	LeaderFollowed = declare(1019, "LeaderFollowed", Info, "This instance follows the leader, which passes the state of the fleet on to it.")
+	LeaderLost     = declare(1020, "LeaderLost", Warning, "The session with the leader has ended; the last state stays in use until a leader is followed again.")
+
 	NoticeFailed = declare(1017, "NoticeFailed", Warning, "A notice from the leader could not be delivered to an instance.")
 
 	LinesDropped = declare(1012, "LinesDropped", Warning, "Log lines were dropped because of their rate or a slow output; Lines is their number.")
--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -41,6 +41,9 @@
 	maximumBackoff = 500 * time.Millisecond
 	// callTimeout is the timeout of a call other than a long poll. The store usually answers in 4 ms.
 	callTimeout = 700 * time.Millisecond
+	// passedOnTimeout is how long an instance that follows the leader waits for a newer configuration that a peer has, before it reads
+	// the store.
+	passedOnTimeout = 300 * time.Millisecond
 )
 
 // ConfigurationResult is the result of a read or a long poll of the stored configuration.
@@ -51,6 +54,8 @@
 	Fault error
 	// Revision is the store's revision at the time of the answer.
 	Revision uint64
+	// Value is the configuration as it is stored, if Table is set.
+	Value []byte
 }
 
 // ConfigurationSource reads the operators' configuration from the store. The function fields must be set before the first use.
@@ -59,6 +64,8 @@
 	Read func(ctx context.Context) (ConfigurationResult, error)
 	// Wait is a long poll: it returns the first change after a revision, or a nil Table if there is none within wait.
 	Wait func(ctx context.Context, after uint64, wait time.Duration) (ConfigurationResult, error)
+	// Decode decodes the stored form of a configuration. It may be nil if no configuration is received from other instances.
+	Decode func(value []byte) (*route.Table, error)
 }
 
 // Configuration watches the stored configuration and brings newer versions into force.
@@ -68,9 +75,13 @@
 	log       *event.Log
 	pollTime  func() time.Duration
 	onAdopted []func(*route.Table)
+	onStored  func(*StoredConfiguration)
+	usesStore func() (bool, <-chan struct{})
 	current   atomic.Pointer[route.Table]
 	health    storeHealth
 	refreshCh chan struct{}
+	// wanted is the newest version that another instance is known to have.
+	wanted atomic.Uint64
 	// batchDelay is the pause between a change and the next long poll. Changes within it are fetched by one call.
 	batchDelay time.Duration
 	isOlder    func(version, inForce uint64) bool
@@ -100,13 +111,24 @@
 	return func(c *Configuration) { c.onAdopted = append(c.onAdopted, callback) }
 }
 
+// WithFleet makes the instance long-poll the store only while it does not follow the leader, which passes the configuration on. Each
+// configuration that comes into force is passed on to the instances that follow this one.
+func WithFleet(f *Fleet) ConfigurationOption {
+	return func(c *Configuration) {
+		c.usesStore = f.UsesStore
+		c.onStored = f.feed.SetConfiguration
+	}
+}
+
 // NewConfiguration returns a watcher of source. Before each long poll, it calls pollTime for the maximum duration of that poll.
 func NewConfiguration(
 	source ConfigurationSource, timers *timer.Service, pollTime func() time.Duration, options ...ConfigurationOption,
 ) *Configuration {
 	c := &Configuration{
 		source: source, timers: timers, pollTime: pollTime, refreshCh: make(chan struct{}, 1),
-		isOlder: func(version, inForce uint64) bool { return version < inForce },
+		isOlder:   func(version, inForce uint64) bool { return version < inForce },
+		onStored:  func(*StoredConfiguration) {},
+		usesStore: func() (bool, <-chan struct{}) { return true, nil },
 	}
 	for _, option := range options {
 		option(c)
@@ -139,9 +161,31 @@
 
 // RefreshIfOlder makes Run read the store if version, which a peer reports, is newer than the one in force.
 func (c *Configuration) RefreshIfOlder(version uint64) {
-	if current := c.current.Load(); current == nil || version > current.Version() {
-		c.Refresh()
+	if version <= c.Version() {
+		return
+	}
+	for {
+		wanted := c.wanted.Load()
+		if version <= wanted || c.wanted.CompareAndSwap(wanted, version) {
+			break
+		}
 	}
+	c.Refresh()
+}
+
+// Version returns the version in force, 0 if there is none.
+func (c *Configuration) Version() uint64 {
+	if current := c.current.Load(); current != nil {
+		return current.Version()
+	}
+
+	return 0
+}
+
+// Offer adopts a configuration that the leader has passed on, if it is valid and newer than the one in force.
+func (c *Configuration) Offer(stored *StoredConfiguration) {
+	table, err := c.source.Decode(stored.Value)
+	c.adopt(ConfigurationResult{Table: table, Fault: err, Value: stored.Value})
 }
 
 // Run watches the configuration until ctx is done.
@@ -149,6 +193,9 @@
 	revision, canPoll := uint64(0), false
 	backoff := newBackoff(c.timers)
 	for ctx.Err() == nil {
+		if c.Current() != nil && !c.awaitTurn(ctx) {
+			canPoll = false
+		}
 		var stored ConfigurationResult
 		var err error
 		if canPoll {
@@ -183,6 +230,35 @@
 	return ctx.Err()
 }
 
+// awaitTurn waits while the instance follows the leader, unless a version that another instance has does not arrive. It returns
+// false if it has waited, because changes may have been missed meanwhile.
+func (c *Configuration) awaitTurn(ctx context.Context) (atOnce bool) {
+	atOnce = true
+	for {
+		usesStore, changed := c.usesStore()
+		if usesStore {
+			return atOnce
+		}
+		atOnce = false
+		select {
+		case <-changed:
+			continue
+		case <-c.refreshCh:
+		case <-ctx.Done():
+			return false
+		}
+		// The leader usually passes the version on within moments.
+		select {
+		case <-c.timers.After(passedOnTimeout):
+		case <-ctx.Done():
+			return false
+		}
+		if wanted := c.wanted.Load(); wanted == 0 || wanted > c.Version() {
+			return false
+		}
+	}
+}
+
 func (c *Configuration) waitBatchDelay(ctx context.Context) {
 	select {
 	case <-c.timers.After(c.batchDelay):
@@ -233,6 +309,9 @@
 		return
 	}
 	c.current.Store(stored.Table)
+	if stored.Value != nil {
+		c.onStored(&StoredConfiguration{Version: stored.Table.Version(), Value: stored.Value})
+	}
 	c.log.Log(event.ConfigurationAdopted, "Version", stored.Table.Version(), "Revision", stored.Revision,
 		"Routes", len(stored.Table.Routes()))
 	for _, callback := range c.onAdopted {
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -61,6 +61,9 @@
 	viewChanged chan struct{}
 	refreshCh   chan struct{}
 	onView      func(View)
+	feed        *Feed
+	// follow is nil if this instance never follows the leader.
+	follow *Following
 	// drainBound is the time within which all instances have to stop sending requests to a target that drains.
 	drainBound time.Duration
 
@@ -71,6 +74,7 @@
 	leader         leader
 	leaderRevision uint64
 	targets        map[string]*directory.Target
+	targetsKnown   bool // targets is the complete mirror
 	mirrorRevision uint64
 	// seenRevision is the revision up to which all changes of the mirror have been received. Unlike revision it never decreases.
 	seenRevision uint64
@@ -80,6 +84,8 @@
 	// view, or when it last caused a refresh. It is zero if the view has caught up.
 	announcedRevision uint64
 	behindSince       time.Time
+
+	followState
 }
 
 // View is a snapshot of the fleet's state as this instance knows it.
@@ -128,6 +134,8 @@
 		option(f)
 	}
 	f.health = storeHealth{timers: timers, log: func() *event.Log { return f.log }, component: "Fleet"}
+	f.feed = newFeed(timers, f.setInstances)
+	f.modeChanged = make(chan struct{})
 	f.reset()
 
 	return f
@@ -136,7 +144,7 @@
 func (f *Fleet) reset() {
 	f.instances = make(map[string]Instance)
 	f.targets = make(map[string]*directory.Target)
-	f.leader, f.leaderRevision, f.mirrorRevision = leader{}, 0, 0
+	f.leader, f.leaderRevision, f.mirrorRevision, f.targetsKnown = leader{}, 0, 0, false
 }
 
 // View returns a snapshot of the fleet's state as this instance knows it.
@@ -148,7 +156,7 @@
 		Leader:    f.leader.Name, LeaderRevision: f.leaderRevision, Revision: f.mirrorRevision, UpToDate: f.upToDate,
 	}
 	v.Mirror = directory.New(slices.Collect(maps.Values(f.targets)))
-	if f.leader.Name != "" && f.leader.Synced {
+	if f.leader.Name != "" && f.leader.Synced && f.targetsKnown {
 		v.Targets = v.Mirror
 	}
 
@@ -164,6 +172,18 @@
 	return min(max(minimumPollTime, time.Duration(n)*time.Second/fleetPollsPerSecond), maximumPollTime)
 }
 
+// directPollTime is PollTime, but at most until a leader that could not be followed is tried again.
+func (f *Fleet) directPollTime() time.Duration {
+	wait := f.PollTime()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.follow != nil && f.leader.Name != "" && f.leader.Name != f.self.Name {
+		wait = min(wait, max(f.timers.Until(f.retryAt), minimumBatchDelay))
+	}
+
+	return wait
+}
+
 // batchDelay returns the delay between a change and the next long poll.
 func (f *Fleet) batchDelay() time.Duration {
 	f.mu.Lock()
@@ -185,6 +205,9 @@
 
 // Run keeps the view up to date until ctx is done.
 func (f *Fleet) Run(ctx context.Context) error {
+	if f.follow != nil {
+		return f.runFollowing(ctx)
+	}
 	backoff := newBackoff(f.timers)
 	canPoll := false
 	for ctx.Err() == nil {
@@ -244,7 +267,7 @@
 	for i := range entries {
 		f.apply(&entries[i])
 	}
-	f.revision, f.upToDate = revision, true
+	f.revision, f.upToDate, f.targetsKnown = revision, true, true
 	f.seenRevision = max(f.seenRevision, revision)
 	f.mu.Unlock()
 	f.publishView()
@@ -257,12 +280,25 @@
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
-	wait := f.PollTime()
+	changed, err := f.pollPrefix(ctx, ownPrefix, revision, f.directPollTime())
+	if err != nil || !changed {
+		return err
+	}
+	select {
+	case <-f.timers.After(f.batchDelay()):
+	case <-ctx.Done():
+	}
+
+	return nil
+}
+
+// pollPrefix waits for changes of the keys with a prefix since a revision, applies them to the view and publishes it.
+func (f *Fleet) pollPrefix(ctx context.Context, prefix string, revision uint64, wait time.Duration) (changed bool, err error) {
 	changes, next, err := pollUntilRefresh(ctx, f.timers, f.refreshCh, wait, func(ctx context.Context) ([]Entry, uint64, error) {
-		return f.store.Wait(ctx, ownPrefix, revision, wait)
+		return f.store.Wait(ctx, prefix, revision, wait)
 	})
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.mu.Lock()
 	for i := range changes {
@@ -270,16 +306,11 @@
 	}
 	f.revision = max(next, f.revision)
 	f.mu.Unlock()
-	if len(changes) == 0 {
-		return nil
-	}
-	f.publishView()
-	select {
-	case <-f.timers.After(f.batchDelay()):
-	case <-ctx.Done():
+	if len(changes) > 0 {
+		f.publishView()
 	}
 
-	return nil
+	return len(changes) > 0, nil
 }
 
 // pollUntilRefresh runs a long poll. When refreshCh delivers a value, it cancels the poll and returns errRefresh.
--- /dev/null
+++ b/internal/tier/control/follow.go
@@ -0,0 +1,534 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+)
+
+const (
+	// standbyCount is the number of instances that long-poll the leader's key although they follow the leader. One of them takes over
+	// as soon as the leader's lease has ended, so the others need not watch it.
+	standbyCount = 3
+	// staleTimeout is the age of the leader's last read of the store from which the other instances probe the store themselves. They
+	// begin one after the other, staleSpacing apart, because the store usually fails for all.
+	staleTimeout = 1500 * time.Millisecond
+	staleSpacing = 50 * time.Millisecond
+	// probeInterval is the interval at which an instance checks whether it has to probe the store.
+	probeInterval = 200 * time.Millisecond
+	// successorDelay and successorDelayPerInstance determine how long an instance that has lost its leader waits for the notice of the
+	// next one, before it reads the leader's key itself.
+	successorDelay            = 150 * time.Millisecond
+	successorDelayPerInstance = 15 * time.Millisecond
+	// followRetryDelay is the delay after which a leader that could not be followed is tried again.
+	followRetryDelay = 4 * time.Second
+	// stableSession is the duration from which a session that ends counts as a lost connection and is opened again at once.
+	stableSession = time.Second
+	// recentFailure is the age up to which a failed call means that the store may just have recovered from an outage.
+	recentFailure = 4 * time.Second
+	// electionTimeout is how long an instance without a leader waits for one before it reads the store itself.
+	electionTimeout = 1500 * time.Millisecond
+)
+
+// Following connects a Fleet to the other instances, so that it can follow the leader instead of reading the store itself. The
+// function fields must be set.
+type Following struct {
+	// Follow passes the updates of the leader at an address to receive, until ctx is done, the leader ends the session or receive
+	// fails.
+	Follow func(ctx context.Context, address netip.AddrPort, r *FollowRequest, receive func(*Update) error) error
+	// Version returns the version of the configuration in force, 0 if there is none.
+	Version func() uint64
+	// FirstStart is set if the whole fleet starts for the first time. Otherwise the instance reads all keys when it starts, because
+	// callers may already be waiting for it.
+	FirstStart bool
+	// OnConfiguration is called with a configuration that the leader passes on, and OnVersion with the version that the leader has.
+	OnConfiguration func(*StoredConfiguration)
+	OnVersion       func(version uint64)
+}
+
+// WithFollowing makes the instance follow the leader. While it does, only the leader and a few standbys read the store.
+func WithFollowing(following *Following) FleetOption {
+	return func(f *Fleet) { f.follow = following }
+}
+
+// mode is where an instance gets the state of the fleet from.
+type mode int
+
+const (
+	// searching is the mode while no leader is known. The store is read only to find one.
+	searching mode = iota
+	// following is the mode in which the leader passes on all state, and also while its successor is awaited.
+	following
+	// direct is the mode in which the instance reads the store and registers itself there, because it cannot follow a leader.
+	direct
+	// leading is the mode of the leader.
+	leading
+)
+
+// searchStep is the next call to the store of an instance that follows no leader.
+type searchStep int
+
+const (
+	// findLeader reads the leader's key.
+	findLeader searchStep = iota
+	// awaitElection long-polls the leader's key while there is no leader.
+	awaitElection
+	// readAll reads all keys, and pollAll long-polls them.
+	readAll
+	pollAll
+)
+
+// followState is the part of a Fleet that concerns the leader that is followed. Fleet.mu guards it.
+type followState struct {
+	mode        mode
+	modeChanged chan struct{} // closed when mode changes
+	leaving     bool          // this instance stops, so the leader must not list it
+	// highestTerm is the highest term of a leader that was followed. Leaders of earlier terms are not followed.
+	highestTerm uint64
+	// failedLeader is the revision of the leader's key when its leader could not be followed. It is tried again at retryAt.
+	failedLeader uint64
+	retryAt      time.Time
+	// storeReadAt is when the followed leader last read the store. storeFailedAt is when a call of this instance last failed.
+	storeReadAt   time.Time
+	storeFailedAt time.Time
+}
+
+// UsesStore reports whether this instance has to read the store itself and be registered there, because it does not follow a leader.
+// The channel is closed when that may have changed.
+func (f *Fleet) UsesStore() (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.follow == nil || f.mode == direct || f.mode == leading, f.modeChanged
+}
+
+// Feed returns what this instance passes on to the instances that follow it while it leads.
+func (f *Fleet) Feed() *Feed { return f.feed }
+
+func (f *Fleet) setMode(m mode) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mode != m {
+		f.mode = m
+		close(f.modeChanged)
+		f.modeChanged = make(chan struct{})
+	}
+}
+
+func (f *Fleet) currentMode() mode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.mode
+}
+
+// setInstances replaces the listed instances while this instance leads.
+func (f *Fleet) setInstances(instances []Instance) {
+	f.mu.Lock()
+	clear(f.instances)
+	for _, i := range instances {
+		f.instances[i.Name] = i
+	}
+	f.mu.Unlock()
+	f.publishView()
+}
+
+// leave makes the leader stop listing this instance, which stops.
+func (f *Fleet) leave() {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
+	f.feed.leave(f.self.Name)
+	f.refresh()
+}
+
+// beginTerm and endTerm make this instance the source of the fleet's state, and end that.
+func (f *Fleet) beginTerm(term uint64, targets []Entry) {
+	f.feed.begin(term, f.self, targets)
+	f.mu.Lock()
+	f.leader, f.leaderRevision = leader{Name: f.self.Name, Synced: true, Peer: f.self.Peer}, term
+	f.highestTerm = max(f.highestTerm, term)
+	f.mu.Unlock()
+	f.setMode(leading)
+	f.refresh()
+}
+
+func (f *Fleet) endTerm() {
+	f.feed.end()
+	if f.currentMode() == leading {
+		f.setMode(searching)
+	}
+	f.refresh()
+}
+
+// runFollowing is Run for an instance that follows the leader if it can.
+func (f *Fleet) runFollowing(ctx context.Context) error {
+	backoff := newBackoff(f.timers)
+	step := readAll
+	if f.follow.FirstStart {
+		step = findLeader
+	}
+	for ctx.Err() == nil {
+		if f.currentMode() == leading {
+			f.watchRegistrations(ctx, backoff)
+			step = findLeader
+
+			continue
+		}
+		if l, term, ok := f.leaderToFollow(); ok {
+			if f.followLeader(ctx, l, term) {
+				// Only the connection may have been lost.
+				continue
+			}
+			if f.currentMode() == following {
+				f.awaitSuccessor(ctx)
+			}
+			step = findLeader
+
+			continue
+		}
+		step = f.search(ctx, step, backoff)
+	}
+
+	return ctx.Err()
+}
+
+// leaderToFollow returns the known leader and the revision of its key, unless it could not be followed just now.
+func (f *Fleet) leaderToFollow() (l leader, term uint64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l, term = f.leader, f.leaderRevision
+	ok = l.Name != "" && l.Name != f.self.Name && l.Peer.IsValid() &&
+		(term != f.failedLeader || !f.timers.Now().Before(f.retryAt))
+
+	return l, term, ok
+}
+
+// search makes the next call to the store and returns the step after it.
+func (f *Fleet) search(ctx context.Context, step searchStep, backoff *backoff) (next searchStep) {
+	var err error
+	switch step {
+	case findLeader:
+		next, err = f.readLeader(ctx)
+	case awaitElection:
+		next, err = f.pollLeader(ctx)
+	case readAll:
+		if f.hasView() {
+			f.setMode(direct)
+		}
+		next, err = pollAll, f.read(ctx)
+	case pollAll:
+		f.setMode(direct)
+		next, err = pollAll, f.longPoll(ctx)
+	}
+	switch {
+	case ctx.Err() != nil, errors.Is(err, errRefresh), errors.Is(err, ErrCompacted):
+		return findLeader
+	case err != nil:
+		f.setMode(direct)
+		f.markOutOfDate()
+		f.recordStoreFailure()
+		f.health.recordFailure(err)
+		backoff.sleep(ctx)
+
+		return findLeader
+	}
+	f.health.recordSuccess()
+	backoff.reset()
+
+	return next
+}
+
+// recordStoreFailure records that a call to the store failed. storeFailedRecently reports whether one failed so recently that entries
+// of targets may have expired during an outage.
+func (f *Fleet) recordStoreFailure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeFailedAt = f.timers.Now()
+}
+
+func (f *Fleet) storeFailedRecently() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return !f.storeFailedAt.IsZero() && f.timers.Since(f.storeFailedAt) < recentFailure
+}
+
+// hasView reports whether the view was read since the start.
+func (f *Fleet) hasView() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.upToDate
+}
+
+// readLeader reads the leader's key.
+func (f *Fleet) readLeader(ctx context.Context) (next searchStep, err error) {
+	ctx, cancel := f.timers.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, revision, err := f.store.Get(ctx, leaderKey)
+	if err != nil {
+		return findLeader, err
+	}
+	f.mu.Lock()
+	f.apply(&entry)
+	f.revision, f.upToDate = revision, true
+	name, m := f.leader.Name, f.mode
+	f.mu.Unlock()
+	switch {
+	case name == "":
+		f.publishView()
+
+		return awaitElection, nil
+	case m == following:
+		// The lease of the leader that was lost has not ended yet.
+		return awaitElection, nil
+	default:
+		// The leader is followed if possible. Otherwise all keys are read.
+		return readAll, nil
+	}
+}
+
+// pollLeader long-polls the leader's key while there is no leader. If none is elected in time, the store is read instead.
+func (f *Fleet) pollLeader(ctx context.Context) (next searchStep, err error) {
+	f.mu.Lock()
+	revision := f.revision
+	f.mu.Unlock()
+	changed, err := f.pollPrefix(ctx, leaderKey, revision, electionTimeout/2+rand.N(electionTimeout))
+	if err != nil || changed {
+		return awaitElection, err
+	}
+
+	return readAll, nil
+}
+
+// followLeader follows a leader until the session ends. It reports whether the session was stable, so that it should be opened again.
+func (f *Fleet) followLeader(ctx context.Context, l leader, term uint64) (stable bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	interrupted := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		select {
+		case <-f.refreshCh:
+			close(interrupted)
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	defer func() {
+		cancel()
+		<-stopped
+	}()
+	f.mu.Lock()
+	request := &FollowRequest{Instance: f.self, Register: !f.leaving, Leader: term, Version: f.follow.Version()}
+	f.mu.Unlock()
+	var began time.Time
+	err := f.follow.Follow(ctx, l.Peer, request, func(u *Update) error {
+		if began.IsZero() {
+			began = f.timers.Now()
+			f.log.Log(event.LeaderFollowed, "Leader", l.Name, "Term", u.Term)
+			go f.watchLeader(ctx, u.Term)
+		}
+
+		return f.receive(l, u)
+	})
+	select {
+	case <-interrupted:
+		// The leader has changed, or this instance leads or stops.
+		return true
+	default:
+	}
+	if !began.IsZero() {
+		f.log.Log(event.LeaderLost, "Leader", l.Name, "Term", term, "After", f.timers.Since(began), "Error", err)
+	}
+	if ctx.Err() != nil || !began.IsZero() && f.timers.Since(began) >= stableSession && !errors.Is(err, ErrNotLeader) {
+		return true
+	}
+	f.mu.Lock()
+	f.failedLeader, f.retryAt = f.leaderRevision, f.timers.Now().Add(followRetryDelay/2+rand.N(followRetryDelay))
+	f.mu.Unlock()
+
+	return false
+}
+
+// receive applies an update of the leader to the view.
+func (f *Fleet) receive(l leader, u *Update) error {
+	f.mu.Lock()
+	if u.Term < f.highestTerm {
+		f.mu.Unlock()
+
+		return Error.New("the leader's term %d is over, because term %d has begun", u.Term, f.highestTerm)
+	}
+	f.storeReadAt = f.timers.Now().Add(-u.StoreAge)
+	if u.Term > f.highestTerm || f.mode != following {
+		f.highestTerm = u.Term
+		f.leader, f.leaderRevision = leader{Name: l.Name, Synced: true, Peer: l.Peer}, u.Term
+	}
+	f.upToDate = true
+	if u.Changes != nil {
+		if u.Changes.Reset {
+			clear(f.instances)
+			clear(f.targets)
+			f.targetsKnown = true
+		}
+		for i := range u.Changes.Entries {
+			f.apply(&u.Changes.Entries[i])
+		}
+	}
+	f.mu.Unlock()
+	f.setMode(following)
+	f.health.recordSuccess()
+	if u.Configuration != nil {
+		f.follow.OnConfiguration(u.Configuration)
+	}
+	f.follow.OnVersion(u.Version)
+	if u.Changes != nil {
+		f.publishView()
+	}
+
+	return nil
+}
+
+// watchLeader long-polls the leader's key while this instance follows the leader: always if it is a standby, and otherwise once the
+// leader has not read the store for some time. It notices that the leader's lease has ended although the leader still sends updates.
+func (f *Fleet) watchLeader(ctx context.Context, term uint64) {
+	backoff := newBackoff(f.timers)
+	ticks := f.timers.Subscribe(probeInterval)
+	defer ticks.Stop()
+	for ctx.Err() == nil {
+		if !f.watchesLeader() {
+			select {
+			case <-ticks.C:
+			case <-ctx.Done():
+			}
+
+			continue
+		}
+		getCtx, cancel := f.timers.WithTimeout(ctx, callTimeout)
+		entry, revision, err := f.store.Get(getCtx, leaderKey)
+		cancel()
+		for err == nil && f.checkLeader(&entry, term) {
+			var changes []Entry
+			wait := f.PollTime()
+			waitCtx, cancel := f.timers.WithTimeout(ctx, wait+callTimeout)
+			changes, revision, err = f.store.Wait(waitCtx, leaderKey, revision, wait)
+			cancel()
+			if len(changes) > 0 {
+				entry = changes[len(changes)-1]
+			}
+		}
+		if err != nil && ctx.Err() == nil {
+			f.recordStoreFailure()
+			backoff.sleep(ctx)
+
+			continue
+		}
+		if err == nil {
+			// The leader has changed. Another one is followed, or this instance campaigns.
+			return
+		}
+	}
+}
+
+// watchesLeader reports whether this instance has to watch the leader's key.
+func (f *Fleet) watchesLeader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	instances := make([]Instance, 0, len(f.instances))
+	for name, i := range f.instances {
+		if name != f.leader.Name {
+			instances = append(instances, i)
+		}
+	}
+	position := rank(instances, f.self)
+
+	return position < standbyCount ||
+		f.timers.Since(f.storeReadAt) > staleTimeout+time.Duration(position)*staleSpacing
+}
+
+// checkLeader applies the leader's key to the view if it does not belong to the term. It reports whether it does.
+func (f *Fleet) checkLeader(entry *Entry, term uint64) bool {
+	if !entry.Deleted && entry.Revision == term {
+		return true
+	}
+	f.mu.Lock()
+	if f.mode == following && (entry.Deleted || entry.Revision > term) {
+		f.apply(entry)
+	}
+	deleted := f.leader.Name == ""
+	f.mu.Unlock()
+	f.publishView()
+	if !deleted {
+		f.refresh()
+	}
+
+	return false
+}
+
+// awaitSuccessor waits for the notice of a new leader after the leader was lost. The instances wait for different times, so that they
+// do not all read the store if the notice does not come.
+func (f *Fleet) awaitSuccessor(ctx context.Context) {
+	f.mu.Lock()
+	n := len(f.instances)
+	f.mu.Unlock()
+	if f.watchesLeader() {
+		return
+	}
+	delay := min(successorDelay+time.Duration(n)*successorDelayPerInstance, time.Duration(float64(f.drainBound)/batchDelayDivisor))
+	select {
+	case <-f.timers.After(delay/2 + rand.N(max(delay, 1))):
+	case <-f.refreshCh:
+	case <-ctx.Done():
+	}
+}
+
+// watchRegistrations keeps the list of the instances that are registered in the store up to date while this instance leads.
+func (f *Fleet) watchRegistrations(ctx context.Context, backoff *backoff) {
+	stored := make(map[string]Instance)
+	revision := uint64(0)
+	for ctx.Err() == nil && f.currentMode() == leading {
+		wait := f.PollTime()
+		call := func(ctx context.Context) ([]Entry, uint64, error) {
+			return f.store.Wait(ctx, instancePrefix, revision, wait)
+		}
+		if revision == 0 {
+			clear(stored)
+			wait = 0
+			call = func(ctx context.Context) ([]Entry, uint64, error) { return f.store.List(ctx, instancePrefix) }
+		}
+		changes, next, err := pollUntilRefresh(ctx, f.timers, f.refreshCh, wait, call)
+		switch {
+		case errors.Is(err, errRefresh):
+			continue
+		case err != nil:
+			revision = 0
+			if !errors.Is(err, ErrCompacted) {
+				backoff.sleep(ctx)
+			}
+
+			continue
+		}
+		backoff.reset()
+		revision = max(next, revision)
+		for i := range changes {
+			name := changes[i].Key[len(instancePrefix):]
+			delete(stored, name)
+			if instance, ok := decodeEntry[Instance](f.log, &changes[i]); ok {
+				stored[name] = instance
+			}
+		}
+		f.feed.setStored(f.self.Name, stored)
+		if len(changes) > 0 {
+			select {
+			case <-f.timers.After(f.batchDelay()):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/tier/control/follow_test.go
@@ -0,0 +1,485 @@
+package control_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/standin/memory"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
+	"github.com/hickorynotch/hickorynotch/internal/world/route"
+)
+
+// followingFleet is a set of instances that follow their leader over function calls, on one store in memory.
+type followingFleet struct {
+	store    *memory.Store
+	registry *targetRegistry
+	timers   *timer.Service
+	version  atomic.Uint64 // version of the stored configuration
+	calls    atomic.Int64  // calls of all instances to the store
+
+	mu        sync.Mutex
+	instances map[string]*followingInstance
+	byAddress map[netip.AddrPort]*followingInstance
+}
+
+// followingInstance is an instance with the components of control that a node has.
+type followingInstance struct {
+	testInstance
+	name          string
+	self          control.Instance
+	configuration *control.Configuration
+	// isolated cuts the instance off from the others, and storeCut from the store.
+	isolated atomic.Bool
+	storeCut atomic.Bool
+}
+
+func newFollowingFleet(names ...string) *followingFleet {
+	f := &followingFleet{
+		timers: timer.New(), registry: &targetRegistry{}, instances: make(map[string]*followingInstance),
+		byAddress: make(map[netip.AddrPort]*followingInstance),
+	}
+	f.store = memory.New(f.timers)
+	f.version.Store(1)
+	f.registry.set(nil, target("a"))
+	for _, name := range names {
+		f.start(name)
+	}
+
+	return f
+}
+
+var errCut = errors.New("cut off")
+
+// keyValueStore returns the store as an instance reaches it, with its calls counted.
+func (f *followingFleet) keyValueStore(i *followingInstance) control.KeyValueStore {
+	inner := f.store.KeyValueStore()
+	call := func() error {
+		f.calls.Add(1)
+		if i.storeCut.Load() {
+			return errCut
+		}
+
+		return nil
+	}
+
+	return control.KeyValueStore{
+		Get: func(ctx context.Context, key string) (control.Entry, uint64, error) {
+			if err := call(); err != nil {
+				return control.Entry{}, 0, err
+			}
+
+			return inner.Get(ctx, key)
+		},
+		List: func(ctx context.Context, prefix string) ([]control.Entry, uint64, error) {
+			if err := call(); err != nil {
+				return nil, 0, err
+			}
+
+			return inner.List(ctx, prefix)
+		},
+		Wait: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]control.Entry, uint64, error) {
+			if err := call(); err != nil {
+				return nil, 0, err
+			}
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			go func() {
+				for ctx.Err() == nil && !i.storeCut.Load() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				cancel()
+			}()
+			changes, revision, err := inner.Wait(ctx, prefix, after, wait)
+			if i.storeCut.Load() {
+				return nil, 0, errCut
+			}
+
+			return changes, revision, err
+		},
+		Commit: func(ctx context.Context, t control.Transaction) (uint64, error) {
+			if err := call(); err != nil {
+				return 0, err
+			}
+
+			return inner.Commit(ctx, t)
+		},
+		Grant: func(ctx context.Context, ttl time.Duration) (control.Lease, time.Duration, error) {
+			if err := call(); err != nil {
+				return 0, 0, err
+			}
+
+			return inner.Grant(ctx, ttl)
+		},
+		Renew: func(ctx context.Context, lease control.Lease) error {
+			if err := call(); err != nil {
+				return err
+			}
+
+			return inner.Renew(ctx, lease)
+		},
+		End: inner.End,
+	}
+}
+
+// configurations returns the source of a configuration whose version is f.version and whose value is that version.
+func (f *followingFleet) configurations(i *followingInstance) control.ConfigurationSource {
+	read := func() (control.ConfigurationResult, error) {
+		f.calls.Add(1)
+		if i.storeCut.Load() {
+			return control.ConfigurationResult{}, errCut
+		}
+		version := f.version.Load()
+
+		return control.ConfigurationResult{Table: table(version), Revision: version, Value: fmt.Append(nil, version)}, nil
+	}
+
+	return control.ConfigurationSource{
+		Read: func(context.Context) (control.ConfigurationResult, error) { return read() },
+		Wait: func(ctx context.Context, after uint64, wait time.Duration) (control.ConfigurationResult, error) {
+			f.calls.Add(1)
+			for end := time.Now().Add(wait); ctx.Err() == nil && time.Now().Before(end) && !i.storeCut.Load(); {
+				if f.version.Load() > after {
+					return read()
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+
+			return control.ConfigurationResult{Revision: after}, ctx.Err()
+		},
+		Decode: func(value []byte) (*route.Table, error) {
+			var version uint64
+			if _, err := fmt.Sscan(string(value), &version); err != nil {
+				return nil, err
+			}
+
+			return table(version), nil
+		},
+	}
+}
+
+// follow connects an instance to the feed of the one at address.
+func (f *followingFleet) follow(i *followingInstance) func(
+	context.Context, netip.AddrPort, *control.FollowRequest, func(*control.Update) error,
+) error {
+	return func(ctx context.Context, address netip.AddrPort, r *control.FollowRequest, receive func(*control.Update) error) error {
+		f.mu.Lock()
+		leader := f.byAddress[address]
+		f.mu.Unlock()
+		if leader == nil || i.isolated.Load() != leader.isolated.Load() {
+			return errCut
+		}
+
+		return leader.fleet.Feed().Serve(ctx, r, func(u *control.Update) error {
+			if i.isolated.Load() != leader.isolated.Load() {
+				return errCut
+			}
+
+			return receive(u)
+		})
+	}
+}
+
+func (f *followingFleet) start(name string) {
+	f.mu.Lock()
+	address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.9"), uint16(1+len(f.byAddress)))
+	f.mu.Unlock()
+	i := &followingInstance{name: name, self: control.Instance{
+		Name: name, Peer: address, AvailabilityZone: "Kochi", Processor: 1,
+	}}
+	i.current = directory.New(nil)
+	store := f.keyValueStore(i)
+	i.fleet = control.NewFleet(store, i.self, f.timers, control.WithDrainBound(3*time.Second),
+		control.WithFollowing(&control.Following{
+			Follow: f.follow(i), FirstStart: true, Version: func() uint64 { return i.configuration.Version() },
+			OnConfiguration: func(c *control.StoredConfiguration) { i.configuration.Offer(c) },
+			OnVersion:       func(version uint64) { i.configuration.RefreshIfOlder(version) },
+		}))
+	i.configuration = control.NewConfiguration(f.configurations(i), f.timers, i.fleet.PollTime, control.WithFleet(i.fleet))
+	targets := control.NewTargets(f.registry.source(), f.timers, func(d *directory.Directory) {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.current = d
+	})
+	leadership := control.NewLeadership(i.fleet, targets, store, f.timers, time.Second, nil,
+		control.WithConfiguration(i.configuration), control.WithNotify(func(_ context.Context, n control.Notice) { f.notify(i, n) }))
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	DeferCleanup(cancel)
+	f.mu.Lock()
+	f.instances[name], f.byAddress[address] = i, i
+	f.mu.Unlock()
+	for _, run := range []func(context.Context) error{
+		i.fleet.Run, i.fleet.Register, i.fleet.Watch, leadership.Run, i.configuration.Run,
+	} {
+		go func() { _ = run(ctx) }()
+	}
+}
+
+// notify delivers a notice of a leader to the instances that it knows and that do not follow it.
+func (f *followingFleet) notify(from *followingInstance, n control.Notice) {
+	for _, known := range from.fleet.View().Instances {
+		f.mu.Lock()
+		to := f.instances[known.Name]
+		f.mu.Unlock()
+		if to != nil && to != from && !from.fleet.Feed().Follows(known.Name) && to.isolated.Load() == from.isolated.Load() {
+			to.fleet.HandleNotice(n)
+			to.configuration.RefreshIfOlder(n.Version)
+		}
+	}
+}
+
+// kill stops an instance without letting it resign, and makes it unreachable.
+func (f *followingFleet) kill(name string) {
+	f.mu.Lock()
+	i := f.instances[name]
+	delete(f.instances, name)
+	delete(f.byAddress, i.self.Peer)
+	f.mu.Unlock()
+	i.storeCut.Store(true)
+	i.isolated.Store(true)
+	i.stop()
+}
+
+func (f *followingFleet) all() []*followingInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*followingInstance
+	for _, i := range f.instances {
+		all = append(all, i)
+	}
+
+	return all
+}
+
+// leader returns the name of the leader if all instances agree on it and all but the leader follow it, otherwise an empty string.
+func (f *followingFleet) leader() string {
+	all := f.all()
+	name := all[0].fleet.View().Leader
+	for _, i := range all {
+		v := i.fleet.View()
+		usesStore, _ := i.fleet.UsesStore()
+		if v.Leader != name || v.Targets == nil && i.name != name || usesStore != (i.name == name) || len(v.Instances) != len(all) {
+			return ""
+		}
+	}
+
+	return name
+}
+
+// describe returns the state of all instances, for the message of a failure.
+func (f *followingFleet) describe() string {
+	var text string
+	for _, i := range f.all() {
+		v := i.fleet.View()
+		usesStore, _ := i.fleet.UsesStore()
+		text += fmt.Sprintf("%s: leader %q, %d instances, synced %t, uses store %t\n",
+			i.name, v.Leader, len(v.Instances), v.Targets != nil, usesStore)
+	}
+
+	return text
+}
+
+// settle waits until all instances follow one leader.
+func (f *followingFleet) settle() string {
+	Eventually(f.leader, "15s", "20ms").ShouldNot(BeEmpty(), f.describe)
+
+	return f.leader()
+}
+
+// expectTargets waits until all instances have a directory of n targets.
+func (f *followingFleet) expectTargets(n int, timeout string) {
+	for _, i := range f.all() {
+		Eventually(func() int { return i.targets().Len() }, timeout, "20ms").Should(Equal(n), i.name)
+	}
+}
+
+func names(n int) (list []string) {
+	for i := range n {
+		list = append(list, fmt.Sprintf("m%02d", i))
+	}
+
+	return list
+}
+
+var _ = Describe("Following the leader", func() {
+	It("lets the calls to the store of a fleet at rest grow far more slowly than the number of instances", func() {
+		count := func(n int) int64 {
+			f := newFollowingFleet(names(n)...)
+			f.settle()
+			f.expectTargets(1, "5s")
+			before := f.calls.Load()
+			time.Sleep(3 * time.Second)
+
+			return f.calls.Load() - before
+		}
+		few, many := count(5), count(40)
+		Expect(many).To(BeNumerically("<=", 2*few), "40 instances compared with 5")
+	})
+
+	It("passes the draining state of a target on to all instances within the drain bound", func() {
+		f := newFollowingFleet(names(8)...)
+		f.settle()
+		f.registry.set(nil, target("a", func(t *directory.Target) { t.Draining = true }))
+		for _, i := range f.all() {
+			Eventually(func() bool {
+				t, ok := i.targets().Target("a")
+
+				return ok && t.Draining
+			}, "3s", "20ms").Should(BeTrue())
+		}
+	})
+
+	It("passes a configuration on to all instances without each reading the store", func() {
+		f := newFollowingFleet(names(20)...)
+		f.settle()
+		before := f.calls.Load()
+		f.version.Store(2)
+		for _, i := range f.all() {
+			Eventually(i.configuration.Version, "3s", "20ms").Should(BeEquivalentTo(2))
+		}
+		Expect(f.calls.Load()-before).To(BeNumerically("<", 20), "fewer calls than instances")
+	})
+
+	It("elects another leader when the leader is killed, and all follow it within the drain bound", func() {
+		f := newFollowingFleet(names(8)...)
+		f.kill(f.settle())
+		f.registry.set(nil, target("a"), target("b"))
+		f.expectTargets(2, "3s")
+		f.settle()
+	})
+
+	It("elects another leader when the leader alone is cut off from the store, although it still sends updates", func() {
+		f := newFollowingFleet(names(8)...)
+		first := f.settle()
+		f.instances[first].storeCut.Store(true)
+		f.registry.set(nil, target("a"), target("b"))
+		f.version.Store(2)
+		for _, i := range f.all() {
+			if i.name != first {
+				Eventually(func() int { return i.targets().Len() }, "3s", "20ms").Should(Equal(2), i.name)
+				Eventually(i.configuration.Version, "3s", "20ms").Should(BeEquivalentTo(2), i.name)
+			}
+		}
+	})
+
+	It("elects another leader although the leader and the standbys are cut off from the store", func() {
+		f := newFollowingFleet(names(10)...)
+		first := f.settle()
+		cut := 0
+		for _, i := range f.all() {
+			if i.name == first || cut < 5 {
+				i.storeCut.Store(true)
+				cut++
+			}
+		}
+		f.registry.set(nil, target("a"), target("b"))
+		for _, i := range f.all() {
+			if !i.storeCut.Load() {
+				Eventually(func() int { return i.targets().Len() }, "5s", "20ms").Should(Equal(2), i.name)
+			}
+		}
+	})
+
+	It("serves instances that cannot reach the leader from the store, and follows again once they can", func() {
+		f := newFollowingFleet(names(8)...)
+		leader := f.settle()
+		for k, i := range f.all() {
+			if i.name != leader && k%2 == 0 {
+				i.isolated.Store(true)
+			}
+		}
+		f.registry.set(nil, target("a"), target("b"))
+		f.expectTargets(2, "5s")
+		f.version.Store(2)
+		for _, i := range f.all() {
+			Eventually(i.configuration.Version, "5s", "20ms").Should(BeEquivalentTo(2))
+		}
+		for _, i := range f.all() {
+			i.isolated.Store(false)
+		}
+		f.settle()
+	})
+
+	It("keeps the state during an outage of the store, in which not all instances call it", func() {
+		const instances = 40
+		f := newFollowingFleet(names(instances)...)
+		f.settle()
+		f.store.SetUnavailable(true)
+		f.registry.set(errors.New("store unavailable"))
+		before := f.calls.Load()
+		time.Sleep(1500 * time.Millisecond)
+		Expect(f.calls.Load()-before).To(BeNumerically("<", 2*instances), "calls in 1.5 s")
+		f.expectTargets(1, "1s")
+		f.store.SetUnavailable(false)
+		f.registry.set(nil, target("a"), target("b"))
+		f.expectTargets(2, "8s")
+		f.settle()
+	})
+
+	It("does not make all instances call the store at once when the leader is lost", func() {
+		const instances = 60
+		f := newFollowingFleet(names(instances)...)
+		leader := f.settle()
+		before := f.calls.Load()
+		f.kill(leader)
+		f.registry.set(nil, target("a"), target("b"))
+		f.expectTargets(2, "5s")
+		f.settle()
+		Expect(f.calls.Load()-before).To(BeNumerically("<", 2*instances), "calls until all follow the next leader")
+	})
+
+	It("removes an instance that is killed from the list of all others", func() {
+		f := newFollowingFleet(names(6)...)
+		leader := f.settle()
+		for _, i := range f.all() {
+			if i.name != leader {
+				f.kill(i.name)
+
+				break
+			}
+		}
+		f.settle()
+	})
+
+	It("brings an instance that starts during an outage of the store up to date after it", func() {
+		f := newFollowingFleet(names(4)...)
+		f.settle()
+		f.store.SetUnavailable(true)
+		f.start("late")
+		time.Sleep(500 * time.Millisecond)
+		f.store.SetUnavailable(false)
+		f.settle()
+		f.expectTargets(1, "3s")
+	})
+})
+
+var _ = Describe("Feed", func() {
+	It("refuses to serve updates while the instance does not lead", func() {
+		fleet := control.NewFleet(memory.New(timer.New()).KeyValueStore(), control.Instance{Name: "a"}, timer.New())
+		err := fleet.Feed().Serve(context.Background(), &control.FollowRequest{}, func(*control.Update) error { return nil })
+		Expect(err).To(MatchError(control.ErrNotLeader))
+	})
+
+	It("never lets the configuration of a follower go back to an older version", func() {
+		f := newFollowingFleet("a", "b")
+		f.version.Store(7)
+		leader := f.settle()
+		for _, i := range f.all() {
+			Eventually(i.configuration.Version, "5s").Should(BeEquivalentTo(7))
+			if i.name != leader {
+				i.configuration.Offer(&control.StoredConfiguration{Version: 5, Value: []byte("5")})
+				Expect(i.configuration.Version()).To(BeEquivalentTo(7))
+			}
+		}
+	})
+})
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -10,6 +10,7 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 )
 
 const (
@@ -178,9 +179,13 @@
 	t := &term{Leadership: l, revision: l.fleet.View().LeaderRevision}
 	defer func() { t.resign(ctx, err) }()
 	if err := t.acquire(ctx); err != nil {
+		l.fleet.feed.end()
+
 		return err
 	}
 	l.log.Log(event.LeadershipBegan, "Revision", t.revision)
+	l.fleet.beginTerm(t.revision, t.mirrorEntries())
+	defer l.fleet.endTerm()
 	ticks := l.timers.Subscribe(leaderInterval)
 	defer ticks.Stop()
 	for {
@@ -193,6 +198,7 @@
 		if err := t.renew(ctx); err != nil {
 			return err
 		}
+		l.fleet.feed.sweep()
 		t.tick++
 		if t.tick%noticeIntervalTicks == 0 {
 			if err := l.readConfiguration(ctx); err != nil {
@@ -205,6 +211,7 @@
 
 			continue
 		}
+		l.fleet.feed.confirm()
 		if err := t.syncMirror(ctx, true); err != nil {
 			return err
 		}
@@ -230,7 +237,7 @@
 
 // sendNotice sends a notice if its content has changed or if the last one is noticeIntervalTicks old.
 func (t *term) sendNotice(ctx context.Context) {
-	n := Notice{Leader: t.revision, Version: t.configurationVersion(), Mirror: t.mirrorRevision}
+	n := Notice{Leader: t.revision, Name: t.fleet.self.Name, Peer: t.fleet.self.Peer, Version: t.configurationVersion(), Mirror: t.mirrorRevision}
 	if n == t.lastNotice && t.tick-t.lastNoticeTick < noticeIntervalTicks {
 		return
 	}
@@ -254,18 +261,29 @@
 		if t.revision, err = t.writeLeaderKey(ctx, t.revision, false); err != nil {
 			return err
 		}
-		if err = t.targets.Read(ctx); err != nil {
-			return err
-		}
+		t.fleet.feed.acquire(t.revision, t.fleet.View().Instances)
 		entries, _, err := t.store.List(ctx, mirrorPrefix)
 		if err != nil {
 			return err
 		}
 		t.storedMirror = make(map[string]mirrored, len(entries))
+		var known []*directory.Target
 		for i := range entries {
+			id := entries[i].Key[len(mirrorPrefix):]
 			// An invalid value decodes to the zero value, which equals no target, so that syncMirror overwrites or deletes the key.
-			m, _ := decodeEntry[mirrored](t.log, &entries[i])
-			t.storedMirror[entries[i].Key[len(mirrorPrefix):]] = m
+			m, ok := decodeEntry[mirrored](t.log, &entries[i])
+			t.storedMirror[id] = m
+			t.mirrorRevision = max(t.mirrorRevision, entries[i].Revision)
+			if ok {
+				known = append(known, m.target(id))
+			}
+		}
+		t.targets.Seed(directory.New(known))
+		if t.fleet.storeFailedRecently() {
+			t.targets.expectMissing()
+		}
+		if err = t.targets.Read(ctx); err != nil {
+			return err
 		}
 		if err = t.syncMirror(ctx, false); err != nil {
 			return err
@@ -278,7 +296,7 @@
 
 // writeLeaderKey writes the leader's key if its revision is still the expected one, and returns the new revision.
 func (t *term) writeLeaderKey(ctx context.Context, expected uint64, synced bool) (uint64, error) {
-	value, err := json.Marshal(leader{Name: t.fleet.self.Name, Synced: synced})
+	value, err := json.Marshal(leader{Name: t.fleet.self.Name, Synced: synced, Peer: t.fleet.self.Peer})
 	if err != nil {
 		return 0, err
 	}
@@ -322,6 +340,9 @@
 		} else {
 			err = commit(ctx)
 		}
+		if err == nil {
+			t.fleet.feed.publish(changes.entries(t.mirrorRevision))
+		}
 		changes = Transaction{}
 
 		return err
@@ -370,6 +391,18 @@
 	return nil
 }
 
+// mirrorEntries returns the content of the stored mirror.
+func (t *term) mirrorEntries() []Entry {
+	entries := make([]Entry, 0, len(t.storedMirror))
+	for id, m := range t.storedMirror {
+		// The fields of a mirrored can always be encoded.
+		value, _ := json.Marshal(m)
+		entries = append(entries, Entry{Key: mirrorPrefix + id, Value: value, Revision: t.mirrorRevision})
+	}
+
+	return entries
+}
+
 // resign revokes the lease, if there is one that has not expired, so that another instance can take over immediately.
 func (t *term) resign(ctx context.Context, err error) {
 	if t.lease == 0 || errors.Is(err, ErrLeaseEnded) {
--- a/internal/tier/control/notice.go
+++ b/internal/tier/control/notice.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 )
 
-// Notice is the message that the leader sends to the other instances periodically and after each change. It lets an instance
-// detect that its long polls of the store miss changes.
+// Notice is the message that the leader sends to the instances that do not follow it, periodically and after each change. It lets an
+// instance follow a new leader at once, and detect that its long polls of the store miss changes.
 type Notice struct {
-	// Leader is the revision of the leader's key.
+	// Leader is the revision of the leader's key. Name and Peer are the leader's name and the address at which it can be followed.
 	Leader uint64
+	Name   string
+	Peer   netip.AddrPort
 	// Version is the version of the configuration in force at the leader.
 	Version uint64
 	// Mirror is the revision of the last change that the leader made to the mirror.
@@ -21,17 +24,31 @@
 	f.mu.Lock()
 	behind := f.upToDate && revision > f.seenRevision
 	f.mu.Unlock()
-	if behind {
+	if usesStore, _ := f.UsesStore(); behind && usesStore {
 		f.refresh()
 	}
 }
 
-// HandleNotice records a notice that was received from the leader.
+// HandleNotice records a notice that was received from the leader. A leader with a newer term than the one that is followed is
+// followed instead.
 func (f *Fleet) HandleNotice(n Notice) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.lastNotice = f.timers.Now()
 	f.announcedRevision = max(n.Mirror, n.Leader)
+	canFollow := f.follow != nil && n.Peer.IsValid() && n.Name != f.self.Name && f.mode != leading
+	newer := canFollow && n.Leader > max(f.leaderRevision, f.highestTerm)
+	// A leader that reaches this instance, though it could not be followed, is tried again.
+	again := canFollow && f.mode == direct && n.Leader >= f.highestTerm && n.Leader == f.leaderRevision
+	if newer {
+		f.leader, f.leaderRevision = leader{Name: n.Name, Synced: true, Peer: n.Peer}, n.Leader
+	}
+	if again {
+		f.retryAt = f.timers.Now()
+	}
+	f.mu.Unlock()
+	if newer || again {
+		f.refresh()
+	}
 }
 
 func (f *Fleet) refresh() {
@@ -65,7 +82,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case !f.upToDate || f.leader.Name == f.self.Name:
+	case !f.upToDate || f.leader.Name == f.self.Name || f.follow != nil && f.mode != direct:
 		f.lastNotice, f.behindSince = now, time.Time{}
 
 		return false
--- a/internal/tier/control/registration.go
+++ b/internal/tier/control/registration.go
@@ -15,11 +15,15 @@
 	self   Instance
 	timers *timer.Service
 	log    *event.Log
+	// needed reports whether the instance has to be registered in the store, and returns a channel that is closed when that changes.
+	needed func() (bool, <-chan struct{})
 }
 
 // NewRegistration returns the registration of self.
 func NewRegistration(store KeyValueStore, self Instance, timers *timer.Service, log *event.Log) *Registration {
-	return &Registration{store: store, self: self, timers: timers, log: log}
+	return &Registration{
+		store: store, self: self, timers: timers, log: log, needed: func() (bool, <-chan struct{}) { return true, nil },
+	}
 }
 
 // Run keeps the instance registered until ctx is done, and then removes the registration.
@@ -31,6 +35,17 @@
 	backoff := newBackoff(r.timers)
 	var lease Lease
 	for ctx.Err() == nil {
+		needed, changed := r.needed()
+		if !needed {
+			// The lease is left to expire, which costs no call.
+			lease = 0
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+
+			continue
+		}
 		err := r.renewOrRegister(ctx, &lease, value)
 		if err != nil {
 			r.log.Log(event.RegistrationFailed, "Error", err)
@@ -41,6 +56,7 @@
 		backoff.reset()
 		select {
 		case <-r.timers.After(instanceRenewInterval):
+		case <-changed:
 		case <-ctx.Done():
 		}
 	}
@@ -80,9 +96,15 @@
 	return nil
 }
 
-// Register keeps the instance registered until ctx is done, and then removes the registration.
+// Register keeps the instance registered in the store until ctx is done, except while it follows a leader, which lists it. It then
+// removes the registration.
 func (f *Fleet) Register(ctx context.Context) error {
-	return NewRegistration(f.store, f.self, f.timers, f.log).Run(ctx)
+	registration := NewRegistration(f.store, f.self, f.timers, f.log)
+	registration.needed = f.UsesStore
+	err := registration.Run(ctx)
+	f.leave()
+
+	return err
 }
 
 // InstanceKey returns the key of the registration of the instance with this name.
--- a/internal/tier/control/store.go
+++ b/internal/tier/control/store.go
@@ -43,6 +43,19 @@
 	Deletes []string
 }
 
+// entries returns the changes of a transaction that was committed with a revision.
+func (t *Transaction) entries(revision uint64) []Entry {
+	entries := make([]Entry, 0, len(t.Puts)+len(t.Deletes))
+	for _, p := range t.Puts {
+		entries = append(entries, Entry{Key: p.Key, Value: p.Value, Revision: revision})
+	}
+	for _, key := range t.Deletes {
+		entries = append(entries, Entry{Key: key, Revision: revision, Deleted: true})
+	}
+
+	return entries
+}
+
 // MaxChanges is the store's limit for the sum of expected keys, puts and deletes in one transaction.
 const MaxChanges = 32
 
--- a/internal/tier/control/targets.go
+++ b/internal/tier/control/targets.go
@@ -80,6 +80,10 @@
 	t.Adopt(d)
 }
 
+// expectMissing makes the next reads treat missing targets as after an outage, which this instance has seen without reading the
+// registry itself.
+func (t *Targets) expectMissing() { t.recoveredAt = t.timers.Now() }
+
 // Read lists the registry once and replaces the directory by the result.
 func (t *Targets) Read(ctx context.Context) error {
 	err := t.read(ctx)
--- a/internal/tier/control/value.go
+++ b/internal/tier/control/value.go
@@ -52,6 +52,8 @@
 	Name string
 	// Synced is set once the leader has brought the mirror up to date with the registry of targets.
 	Synced bool
+	// Peer is the address at which other instances can follow the leader, invalid if the leader's version is older than that.
+	Peer netip.AddrPort
 }
 
 // UnmarshalJSON decodes and validates the value.
--- a/internal/tier/node/fleet.go
+++ b/internal/tier/node/fleet.go
@@ -174,9 +174,7 @@
 		return nil, peer.NotReady, version
 	}
 	if version != r.Version {
-		if r.Version > version {
-			n.configuration.Refresh()
-		}
+		n.configuration.RefreshIfOlder(r.Version)
 
 		return nil, peer.OtherVersion, version
 	}
@@ -206,12 +204,12 @@
 	n.configuration.RefreshIfOlder(notice.Version)
 }
 
-// broadcastNotice sends a notice from this instance, the leader, to all other instances.
+// broadcastNotice sends a notice from this instance, the leader, to the other instances that do not follow it.
 func (n *Node) broadcastNotice(ctx context.Context, notice control.Notice) {
 	slots := make(chan struct{}, maxConcurrentNotices)
 	var pending sync.WaitGroup
 	for _, i := range n.members.View().Instances {
-		if i.Name == n.settings.Name {
+		if i.Name == n.settings.Name || n.members.Feed().Follows(i.Name) {
 			continue
 		}
 		slots <- struct{}{}
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -171,16 +171,23 @@
 		dispatch.WithGroups(func(q *dispatch.Query) []dispatch.Group { return n.handover.Groups(q) }))
 	n.peerClient = peer.NewClient(timers)
 	n.members = control.NewFleet(adapters.KeyValueStore, self, timers, control.WithFleetLog(n.log),
-		control.WithDrainBound(settings.DrainBound), control.OnView(n.updateView))
+		control.WithDrainBound(settings.DrainBound), control.OnView(n.updateView), control.WithFollowing(&control.Following{
+			Follow:          n.peerClient.Follow,
+			FirstStart:      settings.FirstStart,
+			Version:         func() uint64 { return n.configuration.Version() },
+			OnConfiguration: func(stored *control.StoredConfiguration) { n.configuration.Offer(stored) },
+			OnVersion:       func(version uint64) { n.configuration.RefreshIfOlder(version) },
+		}))
 	n.configuration = control.NewConfiguration(adapters.Configurations, timers, n.members.PollTime,
 		append([]control.ConfigurationOption{
 			control.WithConfigurationLog(n.log), control.OnAdopted(n.updateConfiguration),
-			control.WithBatchDelay(settings.ApplyBound / configurationBatchDivisor),
+			control.WithBatchDelay(settings.ApplyBound / configurationBatchDivisor), control.WithFleet(n.members),
 		}, n.configurationOptions...)...)
 	n.handover = handover.New(self, place, n.peerClient, timers, n.dispatcher.Gather, handover.WithLog(n.log),
-		handover.OnNewerConfiguration(func(uint64) { n.configuration.Refresh() }),
+		handover.OnNewerConfiguration(n.configuration.RefreshIfOlder),
 		handover.OnMirrorRevision(n.members.RefreshIfOlder))
-	n.peerServer = peer.NewServer(n.prepareGather, n.dispatcher.Gather, n.members.Revision, n.handleNotice, timers, n.log)
+	n.peerServer = peer.NewServer(n.prepareGather, n.dispatcher.Gather, n.members.Revision, n.handleNotice, timers, n.log,
+		peer.WithFollowers(n.members.Feed().Serve))
 	n.targets = control.NewTargets(adapters.TargetSource, timers, n.updateTargets, control.WithTargetsLog(n.log))
 	n.leadership = control.NewLeadership(n.members, n.targets, adapters.KeyValueStore, timers, targetReadInterval, n.log,
 		control.WithConfiguration(n.configuration), control.WithNotify(n.broadcastNotice))
--- a/internal/tier/node/settings.go
+++ b/internal/tier/node/settings.go
@@ -13,6 +13,9 @@
 	// Regions maps all availability zones to their regions.
 	Regions map[string]string
 
+	// FirstStart is set if the whole fleet starts for the first time, so that no caller is waiting yet.
+	FirstStart bool
+
 	// Callers, Readiness, Peer and Operator are the addresses that the instance listens on: for callers' requests, for the load
 	// balancer's readiness probes, for other instances, and for metrics.
 	Callers   netip.AddrPort
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -194,7 +194,7 @@
 		return err
 	}
 	err = conn.drpcConn.Invoke(ctx, rpcNotice, encoding{},
-		&NoticeRequest{Leader: n.Leader, Version: n.Version, Mirror: n.Mirror}, &NoticeResponse{})
+		&NoticeRequest{Leader: n.Leader, Name: n.Name, Peer: n.Peer, Version: n.Version, Mirror: n.Mirror}, &NoticeResponse{})
 	if err != nil {
 		err = errors.Join(ErrNotAccepted, err)
 	}
--- /dev/null
+++ b/internal/tier/peer/follow.go
@@ -0,0 +1,293 @@
+package peer
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+)
+
+const (
+	// followTimeout is the time without an update after which the leader counts as lost. The leader sends one each second.
+	followTimeout = 2200 * time.Millisecond
+	// followDialTimeout is the time limit for opening the connection to the leader.
+	followDialTimeout = 150 * time.Millisecond
+	// ackInterval is the interval at which a follower confirms that it receives updates. A follower without a confirmation for
+	// ackTimeout counts as lost, for example because its machine has lost power and no reset of the connection arrives.
+	ackInterval = 3 * time.Second
+	ackTimeout  = 10 * time.Second
+	// maxUpdateBytes is the maximum size of the decompressed parts of an update. A configuration of the store has 1 MB at most.
+	maxUpdateBytes = 16 << 20
+	// maxEntries is the maximum number of entries in an update. The system is designed for 3,200 targets and 450 instances.
+	maxEntries = 1 << 16
+)
+
+// FollowRequest carries a control.FollowRequest.
+type FollowRequest struct {
+	_                struct{} `cbor:",toarray"`
+	Name             string
+	Peer             netip.AddrPort
+	AvailabilityZone string
+	Processor        float64
+	LinkBits         float64
+	Register         bool
+	Leader           uint64
+	Version          uint64
+}
+
+func newFollowRequest(r *control.FollowRequest) *FollowRequest {
+	return &FollowRequest{
+		Name: r.Instance.Name, Peer: r.Instance.Peer, AvailabilityZone: r.Instance.AvailabilityZone,
+		Processor: r.Instance.Processor, LinkBits: r.Instance.LinkBits, Register: r.Register, Leader: r.Leader, Version: r.Version,
+	}
+}
+
+func (r *FollowRequest) toControl() *control.FollowRequest {
+	return &control.FollowRequest{
+		Instance: control.Instance{
+			Name: r.Name, Peer: r.Peer, AvailabilityZone: r.AvailabilityZone, Processor: r.Processor, LinkBits: r.LinkBits,
+		},
+		Register: r.Register, Leader: r.Leader, Version: r.Version,
+	}
+}
+
+// Check implements validator.
+func (r *FollowRequest) Check() error {
+	instance := r.toControl().Instance
+
+	return instance.Check()
+}
+
+// FollowAck confirms that the follower receives updates.
+type FollowAck struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+// FollowUpdate carries a control.Update.
+type FollowUpdate struct {
+	_        struct{} `cbor:",toarray"`
+	Term     uint64
+	Version  uint64
+	StoreAge time.Duration
+	// Changes is a compressed changeList, and Configuration the compressed configuration as it is stored. Both may be empty.
+	Changes              []byte
+	Configuration        []byte
+	ConfigurationVersion uint64
+}
+
+// Check implements validator.
+func (u *FollowUpdate) Check() error {
+	if u.Term == 0 {
+		return errors.New("field Term is 0")
+	}
+
+	return nil
+}
+
+// changeList is the content of FollowUpdate.Changes.
+type changeList struct {
+	_       struct{} `cbor:",toarray"`
+	Reset   bool
+	Entries []entry
+}
+
+// Check implements validator.
+func (c *changeList) Check() error {
+	if len(c.Entries) > maxEntries {
+		return fmt.Errorf("field Entries: %d, at most %d", len(c.Entries), maxEntries)
+	}
+
+	return nil
+}
+
+type entry struct {
+	_        struct{} `cbor:",toarray"`
+	Key      string
+	Value    []byte
+	Revision uint64
+	Deleted  bool
+}
+
+func compress(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.DefaultCompression)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+
+	return out.Bytes(), nil
+}
+
+func decompress(data []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	out, err := io.ReadAll(io.LimitReader(r, maxUpdateBytes+1))
+	if err == nil && len(out) > maxUpdateBytes {
+		err = fmt.Errorf("part of an update with over %d bytes", maxUpdateBytes)
+	}
+
+	return out, err
+}
+
+func encodeUpdate(u *control.Update) (message *FollowUpdate, err error) {
+	message = &FollowUpdate{Term: u.Term, Version: u.Version, StoreAge: u.StoreAge}
+	if u.Changes != nil {
+		message.Changes, err = u.Changes.Encoded(func() ([]byte, error) {
+			list := changeList{Reset: u.Changes.Reset, Entries: make([]entry, 0, len(u.Changes.Entries))}
+			for _, e := range u.Changes.Entries {
+				list.Entries = append(list.Entries, entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+			}
+			data, err := cbor.Marshal(&list)
+			if err != nil {
+				return nil, err
+			}
+
+			return compress(data)
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	if c := u.Configuration; c != nil {
+		message.ConfigurationVersion = c.Version
+		message.Configuration, err = c.Encoded(func() ([]byte, error) { return compress(c.Value) })
+	}
+
+	return message, err
+}
+
+func decodeUpdate(message *FollowUpdate) (u *control.Update, err error) {
+	u = &control.Update{Term: message.Term, Version: message.Version, StoreAge: message.StoreAge}
+	if len(message.Changes) > 0 {
+		data, err := decompress(message.Changes)
+		if err != nil {
+			return nil, err
+		}
+		var list changeList
+		if err := (encoding{}).Unmarshal(data, &list); err != nil {
+			return nil, err
+		}
+		u.Changes = &control.Changes{Reset: list.Reset, Entries: make([]control.Entry, 0, len(list.Entries))}
+		for _, e := range list.Entries {
+			u.Changes.Entries = append(u.Changes.Entries, control.Entry{
+				Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted,
+			})
+		}
+	}
+	if len(message.Configuration) > 0 {
+		value, err := decompress(message.Configuration)
+		if err != nil {
+			return nil, err
+		}
+		u.Configuration = &control.StoredConfiguration{Version: message.ConfigurationVersion, Value: value}
+	}
+
+	return u, nil
+}
+
+// Follow follows the leader at address: it passes the leader's updates to receive until ctx is done, receive fails, or the session
+// ends, also because no update has arrived for followTimeout.
+func (c *Client) Follow(
+	ctx context.Context, address netip.AddrPort, r *control.FollowRequest, receive func(*control.Update) error,
+) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dialCtx, stopDial := c.timers.WithTimeout(ctx, followDialTimeout)
+	netConn, err := new(net.Dialer).DialContext(dialCtx, "tcp", address.String())
+	stopDial()
+	if err != nil {
+		return err
+	}
+	conn := drpcconn.New(netConn)
+	defer func() { _ = conn.Close() }()
+	stream, err := conn.NewStream(ctx, rpcFollow, encoding{})
+	if err != nil {
+		return err
+	}
+	if err := stream.MsgSend(newFollowRequest(r), encoding{}); err != nil {
+		return err
+	}
+	lastAck := c.timers.Now()
+	for {
+		stopWatchdog := c.timers.AfterFunc(followTimeout, cancel)
+		var message FollowUpdate
+		err := stream.MsgRecv(&message, encoding{})
+		stopWatchdog()
+		if err != nil {
+			return err
+		}
+		update, err := decodeUpdate(&message)
+		if err != nil {
+			return err
+		}
+		if err := receive(update); err != nil {
+			return err
+		}
+		if c.timers.Since(lastAck) < ackInterval {
+			continue
+		}
+		lastAck = c.timers.Now()
+		if err := stream.MsgSend(&FollowAck{}, encoding{}); err != nil {
+			return err
+		}
+	}
+}
+
+// handleFollow serves an instance that follows this one.
+func (s *Server) handleFollow(stream drpc.Stream) error {
+	var request FollowRequest
+	if err := stream.MsgRecv(&request, encoding{}); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	stopWatchdog := s.timers.AfterFunc(ackTimeout, cancel)
+	defer func() { stopWatchdog() }()
+	acks := make(chan struct{}, 1)
+	go func() {
+		defer cancel()
+		for {
+			var ack FollowAck
+			if err := stream.MsgRecv(&ack, encoding{}); err != nil {
+				return
+			}
+			select {
+			case acks <- struct{}{}:
+			default:
+			}
+		}
+	}()
+
+	return s.serveFollower(ctx, request.toControl(), func(u *control.Update) error {
+		select {
+		case <-acks:
+			stopWatchdog()
+			stopWatchdog = s.timers.AfterFunc(ackTimeout, cancel)
+		default:
+		}
+		message, err := encodeUpdate(u)
+		if err != nil {
+			return err
+		}
+
+		return stream.MsgSend(message, encoding{})
+	})
+}
--- /dev/null
+++ b/internal/tier/peer/follow_test.go
@@ -0,0 +1,112 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+	"github.com/hickorynotch/hickorynotch/internal/tier/peer"
+)
+
+// serveFollowers starts a server that serves followers with the given function.
+func serveFollowers(serve peer.ServeFollower) netip.AddrPort {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := peer.NewServer(nil, nil, nil, nil, timer.New(), nil, peer.WithFollowers(serve))
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() { _ = s.Serve(ctx, listener) }()
+
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+var _ = Describe("Follow", func() {
+	var (
+		client  *peer.Client
+		request *control.FollowRequest
+	)
+
+	BeforeEach(func() {
+		client = peer.NewClient(timer.New())
+		DeferCleanup(client.Close)
+		request = &control.FollowRequest{
+			Instance: control.Instance{
+				Name: "a", Peer: netip.MustParseAddrPort("10.0.0.1:1"), AvailabilityZone: "Kochi", Processor: 0.4, LinkBits: 1e9,
+			},
+			Register: true, Leader: 5, Version: 7,
+		}
+	})
+
+	It("carries the request and the leader's updates unchanged", func() {
+		received := make(chan *control.FollowRequest, 1)
+		address := serveFollowers(func(_ context.Context, r *control.FollowRequest, send func(*control.Update) error) error {
+			received <- r
+			_ = send(&control.Update{
+				Term: 5, Version: 8, StoreAge: time.Second,
+				Changes: &control.Changes{Reset: true, Entries: []control.Entry{
+					{Key: "k", Value: []byte("v"), Revision: 3}, {Key: "gone", Revision: 4, Deleted: true},
+				}},
+				Configuration: &control.StoredConfiguration{Version: 8, Value: []byte(strings.Repeat("x", 1<<20))},
+			})
+
+			return control.ErrNotLeader
+		})
+		var updates []*control.Update
+		err := client.Follow(context.Background(), address, request, func(u *control.Update) error {
+			updates = append(updates, u)
+
+			return nil
+		})
+		Expect(err).To(HaveOccurred())
+		Expect(<-received).To(Equal(request))
+		Expect(updates).To(HaveLen(1))
+		Expect(updates[0].Term).To(BeEquivalentTo(5))
+		Expect(updates[0].StoreAge).To(Equal(time.Second))
+		Expect(updates[0].Changes.Reset).To(BeTrue())
+		Expect(updates[0].Changes.Entries).To(Equal([]control.Entry{
+			{Key: "k", Value: []byte("v"), Revision: 3}, {Key: "gone", Revision: 4, Deleted: true},
+		}))
+		Expect(updates[0].Configuration.Value).To(HaveLen(1 << 20))
+	})
+
+	It("ends when the leader sends nothing any more, because it may be frozen or cut off", func() {
+		address := serveFollowers(func(ctx context.Context, _ *control.FollowRequest, _ func(*control.Update) error) error {
+			<-ctx.Done()
+
+			return ctx.Err()
+		})
+		began := time.Now()
+		Expect(client.Follow(context.Background(), address, request, nil)).NotTo(Succeed())
+		Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+	})
+
+	It("refuses a part of an update that decompresses to more than its limit, instead of running out of memory", func() {
+		address := serveFollowers(func(_ context.Context, _ *control.FollowRequest, send func(*control.Update) error) error {
+			return send(&control.Update{
+				Term: 5, Configuration: &control.StoredConfiguration{Version: 8, Value: make([]byte, 17<<20)},
+			})
+		})
+		err := client.Follow(context.Background(), address, request, func(*control.Update) error {
+			return errors.New("received")
+		})
+		Expect(err).To(MatchError(ContainSubstring("over")))
+	})
+
+	It("rejects the request of an instance that does not describe itself", func() {
+		request.Instance.Name = ""
+		address := serveFollowers(func(context.Context, *control.FollowRequest, func(*control.Update) error) error {
+			Fail("an invalid request was served")
+
+			return nil
+		})
+		Expect(client.Follow(context.Background(), address, request, nil)).NotTo(Succeed())
+	})
+})
--- a/internal/tier/peer/message.go
+++ b/internal/tier/peer/message.go
@@ -13,6 +13,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,6 +30,7 @@
 const (
 	rpcGather = "/hickorynotch.Tier/Gather"
 	rpcNotice = "/hickorynotch.Tier/Notice"
+	rpcFollow = "/hickorynotch.Tier/Follow"
 )
 
 const (
@@ -100,6 +102,8 @@
 type NoticeRequest struct {
 	_       struct{} `cbor:",toarray"`
 	Leader  uint64
+	Name    string
+	Peer    netip.AddrPort
 	Version uint64
 	Mirror  uint64
 }
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -34,19 +34,41 @@
 	gather         func(ctx context.Context, q *dispatch.Query) dispatch.Answer
 	mirrorRevision func() uint64
 	onNotice       func(control.Notice)
+	serveFollower  ServeFollower
 	timers         *timer.Service
 	log            *event.Log
 	active         atomic.Int64
 }
 
+// ServeFollower sends the updates of this instance, the leader, to an instance that follows it until ctx is done or send fails.
+type ServeFollower func(ctx context.Context, r *control.FollowRequest, send func(*control.Update) error) error
+
+// ServerOption configures a Server.
+type ServerOption func(*Server)
+
+// WithFollowers sets the function that serves the instances that follow this one. Without it, none can.
+func WithFollowers(serve ServeFollower) ServerOption {
+	return func(s *Server) { s.serveFollower = serve }
+}
+
 // NewServer returns a Server that answers a request with the result of gather for the query that prepare returns. The function
 // mirrorRevision returns the newest known revision of the leader's mirror of the registry of targets, and onNotice is called with
 // each notice of the leader.
 func NewServer(
 	prepare Prepare, gather func(ctx context.Context, q *dispatch.Query) dispatch.Answer, mirrorRevision func() uint64,
-	onNotice func(control.Notice), timers *timer.Service, log *event.Log,
+	onNotice func(control.Notice), timers *timer.Service, log *event.Log, options ...ServerOption,
 ) *Server {
-	return &Server{prepare: prepare, gather: gather, mirrorRevision: mirrorRevision, onNotice: onNotice, timers: timers, log: log}
+	s := &Server{
+		prepare: prepare, gather: gather, mirrorRevision: mirrorRevision, onNotice: onNotice, timers: timers, log: log,
+		serveFollower: func(context.Context, *control.FollowRequest, func(*control.Update) error) error {
+			return control.ErrNotLeader
+		},
+	}
+	for _, option := range options {
+		option(s)
+	}
+
+	return s
 }
 
 // Active returns the number of queries that this instance is gathering for peers.
@@ -66,6 +88,8 @@
 		return s.handleGather(stream)
 	case rpcNotice:
 		return s.handleNotice(stream)
+	case rpcFollow:
+		return s.handleFollow(stream)
 	default:
 		return drpc.ProtocolError.New("call %q is not known", rpc)
 	}
@@ -76,7 +100,9 @@
 	if err := stream.MsgRecv(&request, encoding{}); err != nil {
 		return err
 	}
-	s.onNotice(control.Notice{Leader: request.Leader, Version: request.Version, Mirror: request.Mirror})
+	s.onNotice(control.Notice{
+		Leader: request.Leader, Name: request.Name, Peer: request.Peer, Version: request.Version, Mirror: request.Mirror,
+	})
 
 	return stream.MsgSend(&NoticeResponse{}, encoding{})
 }
