target: bound what is read for one response, and trust no unmarked answer on a reused connection

A head was read without a limit until the request's deadline, the buffer of a body was as large as its Content-Length claimed, an interim response counted as the answer, and a copy of an earlier answer without a request ID, sent just before the next one, would have answered the next request. Change: an allowance of 64 KB for a head, interim responses and framing, and of 128 KB for a part on top; buffers grow with what is received; up to eight interim responses are skipped; on a connection that was used before, a success needs a request ID. A response to HEAD may name a length.

--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -104,6 +104,9 @@
 		finished:     make(chan struct{}),
 		groupResults: make(chan groupResult),
 	}
+	if request.Route.Gather != nil {
+		q.call.MaxReplyBytes = target.PartReplyBytes
+	}
 	for i, s := range services {
 		q.subrequests[i].service = s
 	}
--- a/internal/tier/target/conn.go
+++ b/internal/tier/target/conn.go
@@ -31,6 +31,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// allowance limits what is read for one response, head and body together, whatever its framing.
+	allowance *io.LimitedReader
 	// lastUsed is the time at which the last response was read completely, or at which the connection was opened.
 	lastUsed    time.Time
 	idleTimeout time.Duration // idle time after which the connection is no longer reused
@@ -236,9 +238,12 @@
 		return nil, Error.Wrap(err)
 	}
 
+	allowance := &io.LimitedReader{R: netConn}
+
 	return &conn{
 		Conn:        netConn,
-		reader:      bufio.NewReaderSize(netConn, readBufferSize),
+		allowance:   allowance,
+		reader:      bufio.NewReaderSize(allowance, readBufferSize),
 		lastUsed:    l.pool.timers.Now(),
 		idleTimeout: defaultIdleTimeout,
 	}, nil
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -28,12 +28,20 @@
 const (
 	// maxMismatched is the maximum number of responses to other requests that one attempt skips on its connection.
 	maxMismatched = 2
+	// maxInterim is the maximum number of interim responses (status 1xx) that one attempt skips.
+	maxInterim = 8
+	// maxHeadBytes is the maximum size of the head of a response, and of interim responses and chunk framing on top of its body.
+	maxHeadBytes = 64 << 10
 	// concurrentWriteSize is the body size from which the request is written concurrently with reading the response, because a
 	// target may respond before it has read the whole body.
 	concurrentWriteSize = 16 << 10
 )
 
-var errRequestIDMismatch = errors.New("response carries the ID of another request")
+var (
+	errRequestIDMismatch = errors.New("response carries the ID of another request")
+	errNoRequestID       = errors.New("successful response without a request ID on a connection that was used before")
+	errHeadTooLarge      = fmt.Errorf("response head too large: more than the limit of %d bytes", maxHeadBytes)
+)
 
 // Call is a request that can be sent to any number of targets.
 type Call struct {
@@ -48,6 +56,8 @@
 	Body []byte
 	// Deadline is the time after which the caller can no longer use the response.
 	Deadline time.Time
+	// MaxReplyBytes is the maximum size of a response body, DefaultReplyBytes if it is 0.
+	MaxReplyBytes int64
 	// NewConnection asks for a new connection. It is set for requests that are not idempotent: they cannot be retried if an idle
 	// connection turns out to have been closed by the target.
 	NewConnection bool
@@ -156,7 +166,7 @@
 		}
 	}
 	if err != nil {
-		result.Err = err
+		result.Err, result.Body = err, nil
 		reusable = false
 	}
 	select {
@@ -201,12 +211,18 @@
 // readResponse reads one response into result. It returns errRequestIDMismatch if the response belongs to another request.
 // keepAlive reports whether the target leaves the connection open.
 func (l *Link) readResponse(c *conn, call *Call, result *Result) (keepAlive bool, err error) {
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+	maxBody := call.MaxReplyBytes
+	if maxBody == 0 {
+		maxBody = DefaultReplyBytes
+	}
+	c.allowance.N = maxHeadBytes
+	response, err := readFinalHead(c, call.Method)
 	if err != nil {
 		return false, err
 	}
 	defer response.Body.Close()
-	result.Body, err = readBody(response)
+	c.allowance.N = maxBody + maxHeadBytes
+	result.Body, err = readBody(response, maxBody)
 	if err != nil {
 		return false, err
 	}
@@ -221,6 +237,10 @@
 	if id := result.Reply.RequestID; id != "" && id != call.RequestID {
 		return keepAlive, errRequestIDMismatch
 	}
+	if c.reused && result.Reply.RequestID == "" && response.StatusCode/100 == 2 {
+		// It may be a copy of the response to an earlier request on this connection.
+		return false, errNoRequestID
+	}
 	result.Status, result.Header = response.StatusCode, response.Header
 	result.Outcome = Answered
 	if result.Reply.NotRun || response.StatusCode == http.StatusMisdirectedRequest {
@@ -237,22 +257,45 @@
 	return keepAlive, nil
 }
 
-func readBody(response *http.Response) ([]byte, error) {
-	switch n := response.ContentLength; {
-	case n == 0:
-		return nil, nil
-	case n > MaxReplyBytes:
-		return nil, fmt.Errorf("response body too large: Content-Length is %d bytes, the limit is %d", n, MaxReplyBytes)
-	case n > 0:
-		body := make([]byte, n)
-		_, err := io.ReadFull(response.Body, body)
+// readFinalHead reads the head of a response and skips interim responses before it.
+func readFinalHead(c *conn, method string) (response *http.Response, err error) {
+	for range maxInterim + 1 {
+		response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+		switch {
+		case err != nil && c.allowance.N <= 0:
+			return nil, errHeadTooLarge
+		case err != nil:
+			return nil, err
+		case response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols:
+			return response, nil
+		}
+		_ = response.Body.Close()
+	}
+
+	return nil, fmt.Errorf("more than %d interim responses", maxInterim)
+}
 
-		return body, err
+// readBody reads a body of at most limit bytes. The buffer grows with what is received, because a target can announce more than it
+// sends.
+func readBody(response *http.Response, limit int64) ([]byte, error) {
+	n := response.ContentLength
+	if n == 0 || response.Body == http.NoBody {
+		return nil, nil
+	}
+	if n > limit {
+		return nil, fmt.Errorf("response body too large: Content-Length is %d bytes, the limit is %d", n, limit)
 	}
 	var buffer bytes.Buffer
-	n, err := buffer.ReadFrom(io.LimitReader(response.Body, MaxReplyBytes+1))
-	if err == nil && n > MaxReplyBytes {
-		err = fmt.Errorf("response body too large: more than the limit of %d bytes", MaxReplyBytes)
+	if n > 0 {
+		buffer.Grow(int(min(n, readBufferSize)) + bytes.MinRead)
+	}
+	read, err := buffer.ReadFrom(io.LimitReader(response.Body, limit+1))
+	switch {
+	case err != nil:
+	case read > limit:
+		err = fmt.Errorf("response body too large: more than the limit of %d bytes", limit)
+	case n > 0 && read < n:
+		err = io.ErrUnexpectedEOF
 	}
 
 	return buffer.Bytes(), err
--- a/internal/tier/target/target.go
+++ b/internal/tier/target/target.go
@@ -37,8 +37,11 @@
 	maxChangeLines = 40
 	// maxWaiters is the maximum number of attempts that wait for a connection to one target.
 	maxWaiters = 64
-	// MaxReplyBytes is the maximum size of a response body. Records of up to 18 kB are expected.
-	MaxReplyBytes = 4 << 20
+	// DefaultReplyBytes is the default of Call.MaxReplyBytes. Records of up to 18 kB are expected.
+	DefaultReplyBytes = 4 << 20
+	// PartReplyBytes is the limit for the part of one shard, of which a query has up to 216 in memory. Parts of up to 6 kB are
+	// expected.
+	PartReplyBytes = 128 << 10
 )
 
 // Pool manages the links to all targets in the directory. It is safe for concurrent use.
