tier: end a request that fails unexpectedly or never ends, and keep the process

A panic in the goroutine of an attempt, of a group or of a peer's call ended the whole process; a body that arrived one byte at a time kept its connection without a limit. Change: these goroutines recover, log PanicRecovered and end the request as one that may have run; a body has to arrive within the caller's time. Measured: new tests of caller, dispatch and peer; without the deadline, the test of the slow body fails.

--- a/internal/run/event/event.go
+++ b/internal/run/event/event.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"time"
@@ -111,6 +112,25 @@
 	l.write(e, keyvals...)
 }
 
+// maxStackBytes is the size to which the stack in a PanicRecovered line is cut.
+const maxStackBytes = 2 << 10
+
+// Recovered logs a panic, of which recovered is the value, and returns it as an error. Without a panic, it returns nil. It is called
+// in the goroutines that handle a single request or message, so that one that is malformed never ends the process:
+//
+//	defer func() { err = errors.Join(err, log.Recovered(recover(), "Peer")) }()
+func (l *Log) Recovered(recovered any, part string, keyvals ...any) error {
+	if recovered == nil {
+		return nil
+	}
+	stack := debug.Stack()
+	l.Log(PanicRecovered, append([]any{
+		"Part", part, "Panic", fmt.Sprint(recovered), "Stack", string(stack[:min(len(stack), maxStackBytes)]),
+	}, keyvals...)...)
+
+	return fmt.Errorf("%s: unexpected failure: %v", part, recovered)
+}
+
 func (l *Log) write(e Event, keyvals ...any) {
 	line := []any{
 		"Time", l.now().UTC().Format(time.RFC3339Nano),
--- a/internal/run/event/instance.go
+++ b/internal/run/event/instance.go
@@ -8,6 +8,7 @@
 	InstanceStopping = declare(1004, "InstanceStopping", Info, "A graceful stop has begun; requests in flight are completed first.")
 	InstanceStopped  = declare(1005, "InstanceStopped", Info, "The instance has stopped; InFlight is the number of requests aborted at the stop timeout.")
 	InstancePaused   = declare(1006, "InstancePaused", Warning, "The process did not run for the time in Gap; state received from other processes is refreshed.")
+	PanicRecovered   = declare(1009, "PanicRecovered", Error, "Handling one request or message failed unexpectedly; it ends, and the process goes on. Stack is where.")
 	LibraryMessage   = declare(1008, "LibraryMessage", Warning, "A library wrote a message to the standard logger; Text is its start.")
 	ServiceFailed    = declare(1007, "ServiceFailed", Error, "A supervised component of the instance failed and is restarted.")
 )
--- a/internal/tier/caller/caller_test.go
+++ b/internal/tier/caller/caller_test.go
@@ -1,8 +1,11 @@
 package caller_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/caller"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
@@ -123,6 +127,56 @@
 		Expect(late.Code).To(Equal(http.StatusGatewayTimeout))
 	})
 
+	It("answers 502 to a request whose handling fails unexpectedly, and serves the next one", func() {
+		fail := true
+		respond := func(context.Context, *dispatch.Query) dispatch.Answer {
+			if fail {
+				fail = false
+				panic("malformed message")
+			}
+
+			return dispatch.Answer{Status: dispatch.Answered, Stamps: []string{"s1"}}
+		}
+		var lines bytes.Buffer
+		h := caller.NewHandler(codec, table, caller.Dispatch{Gather: respond, Forward: respond}, timer.New(),
+			caller.WithLog(event.New(&lines, time.Now)))
+		for _, status := range []int{http.StatusBadGateway, http.StatusOK} {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, request("GET", "/g/1", ""))
+			Expect(w.Code).To(Equal(status))
+		}
+		Expect(lines.String()).To(And(ContainSubstring("Name=PanicRecovered"), ContainSubstring("Request=r1")))
+	})
+
+	It("ends a request whose body arrives one byte at a time when its caller's time is over, instead of keeping its connection", func() {
+		respond := func(context.Context, *dispatch.Query) dispatch.Answer {
+			return dispatch.Answer{Status: dispatch.Answered, Stamps: []string{"s1"}}
+		}
+		server := httptest.NewServer(
+			caller.NewHandler(codec, table, caller.Dispatch{Gather: respond, Forward: respond}, timer.New()))
+		DeferCleanup(server.Close)
+		c, err := new(net.Dialer).DialContext(context.Background(), "tcp", strings.TrimPrefix(server.URL, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		_, err = c.Write([]byte("POST /g/1 HTTP/1.1\r\nHost: a.example\r\nRequest: r1\r\nLeft: 300ms\r\n" +
+			"Content-Length: 8\r\n\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		began := time.Now()
+		answer := make(chan string, 1)
+		go func() {
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			answer <- line
+		}()
+		for range 8 {
+			if len(answer) == 0 {
+				_, _ = c.Write([]byte("x"))
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		Expect(answer).To(Receive(ContainSubstring("400")))
+		Expect(time.Since(began)).To(BeNumerically("<", 600*time.Millisecond))
+	})
+
 	It("refuses a request over the concurrency limit with 503 and a retry delay, without dispatching it", func() {
 		var h *caller.Handler
 		release := make(chan struct{})
--- a/internal/tier/caller/handler.go
+++ b/internal/tier/caller/handler.go
@@ -166,7 +166,7 @@
 
 		return
 	}
-	body, err := readBody(w, r, table.Limits().BodyBytes)
+	body, err := readBody(w, r, table.Limits().BodyBytes, received.Add(bodyTimeout(request, matched)))
 	if err != nil {
 		status := http.StatusBadRequest
 		if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
@@ -194,10 +194,24 @@
 	return n
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// bodyTimeout returns the time within which the body of a request has to arrive.
+func bodyTimeout(request Request, matched *route.Route) time.Duration {
+	if request.TimeLeft > 0 {
+		return min(request.TimeLeft, matched.Timeout)
+	}
+
+	return matched.Timeout
+}
+
+// readBody reads a body of at most limit bytes. One that does not end before the deadline must not occupy the instance any longer.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	controller := http.NewResponseController(w)
+	// Writers that cannot set a deadline are used in tests only.
+	_ = controller.SetReadDeadline(deadline)
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	body := io.Reader(r.Body)
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
@@ -297,6 +311,11 @@
 func (h *Handler) dispatchQuery(callerCtx context.Context, q *dispatch.Query) (answer dispatch.Answer) {
 	ctx, cancel := context.WithCancel(callerCtx)
 	defer cancel()
+	defer func() {
+		if err := h.log.Recovered(recover(), "Caller", "Request", q.RequestID, "Route", q.Route.Name); err != nil {
+			answer = dispatch.Answer{Status: dispatch.Unknown, Reason: "UnexpectedFailure"}
+		}
+	}()
 	defer context.AfterFunc(h.ending, cancel)()
 	if q.Route.Gather != nil {
 		answer = h.dispatch.Gather(ctx, q)
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -208,7 +208,7 @@
 		}))
 	}
 	go func() {
-		r := attemptResult{index: i, attempt: a, result: link.Send(q.call, &a.cancel)}
+		r := attemptResult{index: i, attempt: a, result: q.send(link, &a.cancel)}
 		select {
 		case q.results <- r:
 		case <-q.finished:
@@ -216,6 +216,17 @@
 	}()
 }
 
+// send makes an attempt. One that fails unexpectedly, for example on a malformed response, may have been run.
+func (q *activeQuery) send(link *target.Link, cancel *target.Cancel) (result target.Result) {
+	defer func() {
+		if err := q.d.log.Recovered(recover(), "Target", "Request", q.request.RequestID, "Target", link.ID()); err != nil {
+			result = target.Result{Target: link.ID(), Outcome: target.Unknown, Sent: true, Err: err}
+		}
+	}()
+
+	return link.Send(q.call, cancel)
+}
+
 // attemptLimit returns the number of targets that each subrequest may be sent to. It is 1 for a query that an earlier gatherer may
 // have sent, because that gatherer may have used the other attempts.
 func (q *activeQuery) attemptLimit() int {
--- a/internal/tier/dispatch/dispatch_test.go
+++ b/internal/tier/dispatch/dispatch_test.go
@@ -144,6 +144,30 @@
 	}
 }
 
+var _ = Describe("Gather", func() {
+	It("goes on without a shard whose response makes its handling fail unexpectedly, and keeps the process alive", func() {
+		malformed := newBackend("s1", "a", reply("a", "x"))
+		healthy := newBackend("s2", "b", reply("b", "y"))
+		timers := timer.New()
+		failing := codec
+		failing.DecodeReply = func(header http.Header) (target.Reply, error) {
+			if header.Get("Stamp") == "a" {
+				panic("malformed response")
+			}
+
+			return codec.DecodeReply(header)
+		}
+		pool := target.NewPool(failing, timers)
+		pool.Update(directory.New([]*directory.Target{malformed.target, healthy.target}))
+		DeferCleanup(pool.Close)
+		d := dispatch.New(pool, budget.NewLedger(timers.Now(), func(string) budget.Limits { return budget.Limits{Window: time.Minute} }),
+			timers, dispatch.Settings{Place: choice.Place{AvailabilityZone: "Kochi"}})
+		answer := d.Gather(context.Background(), query(gatherRoute(0.5, "s1", "s2")))
+		Expect(answer.Status).To(Equal(dispatch.Answered))
+		Expect(answer.Missing).To(Equal(1))
+	})
+})
+
 var _ = Describe("Gather", func() {
 	It("hedges a shard whose replica does not answer, so that a paused replica does not leave its part missing", func() {
 		a := newBackend("s1", "a", hang)
--- a/internal/tier/dispatch/group.go
+++ b/internal/tier/dispatch/group.go
@@ -22,12 +22,23 @@
 			q.subrequests[i].outstanding, q.subrequests[i].hedgeAt = 1, noHedge
 		}
 		go func() {
-			answer, err := g.Run(ctx, func(early Answer) { q.deliverGroupResult(groupResult{group: g, answer: early}) })
+			answer, err := q.runGroup(ctx, g)
 			q.deliverGroupResult(groupResult{group: g, answer: answer, err: err})
 		}()
 	}
 }
 
+// runGroup calls the peer that gathers a group. A call that fails unexpectedly may have been sent.
+func (q *activeQuery) runGroup(ctx context.Context, g Group) (answer Answer, err error) {
+	defer func() {
+		if failure := q.d.log.Recovered(recover(), "Group", "Request", q.request.RequestID); failure != nil {
+			answer, err = Answer{}, errors.Join(ErrMayHaveRun, failure)
+		}
+	}()
+
+	return g.Run(ctx, func(early Answer) { q.deliverGroupResult(groupResult{group: g, answer: early}) })
+}
+
 // deliverGroupResult passes an answer of a peer to run, or drops it if the query has ended.
 func (q *activeQuery) deliverGroupResult(r groupResult) {
 	select {
--- a/internal/tier/peer/follow_test.go
+++ b/internal/tier/peer/follow_test.go
@@ -109,4 +109,18 @@
 		})
 		Expect(client.Follow(context.Background(), address, request, nil)).NotTo(Succeed())
 	})
+
+	It("and the other calls survive a call whose handling fails unexpectedly, which ends without taking the process down", func() {
+		calls := 0
+		address := serveFollowers(func(context.Context, *control.FollowRequest, func(*control.Update) error) error {
+			calls++
+			if calls == 1 {
+				panic("malformed message")
+			}
+
+			return control.ErrNotLeader
+		})
+		Expect(client.Follow(context.Background(), address, request, nil)).To(MatchError(ContainSubstring("unexpected failure")))
+		Expect(client.Follow(context.Background(), address, request, nil)).To(MatchError(ContainSubstring("does not lead")))
+	})
 })
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 
@@ -81,7 +82,7 @@
 
 // HandleRPC implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) (err error) {
-	defer func() { err = Error.Wrap(err) }()
+	defer func() { err = Error.Wrap(errors.Join(err, s.log.Recovered(recover(), "Peer", "Call", rpc))) }()
 
 	switch rpc {
 	case rpcGather:
