--- a/internal/tier/caller/handler.go
+++ b/internal/tier/caller/handler.go
@@ -211,13 +211,17 @@
 	controller := http.NewResponseController(w)
 	// Writers that cannot set a deadline are used in tests only.
 	_ = controller.SetReadDeadline(deadline)
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	body := io.Reader(r.Body)
 	if limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	data, err := io.ReadAll(body)
+	if err == nil {
+		// After an error, the deadline also ends the attempt of the server to read the rest of the body.
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 
-	return io.ReadAll(body)
+	return data, err
 }
 
 func (h *Handler) newQuery(
