control: keep targets that are missing when a new leader begins

Change: a new leader keeps missing targets until 0.8 of the drain bound after the previous leader's last read of the registry. They were registered then, so no bound is broken. The new test fails without the change.

--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -30,6 +30,9 @@
 	stableSession = time.Second
 	// recentFailure is the age up to which a failed call means that the store may just have recovered from an outage.
 	recentFailure = 4 * time.Second
+	// retentionFraction is the fraction of the drain bound for which a new leader keeps targets that are missing from the registry,
+	// counted from the previous leader's last read. The rest covers the time until all instances have the change.
+	retentionFraction = 0.8
 	// electionTimeout is how long an instance without a leader waits for one before it reads the store itself.
 	electionTimeout = 1500 * time.Millisecond
 )
@@ -258,6 +261,18 @@
 	return !f.storeFailedAt.IsZero() && f.timers.Since(f.storeFailedAt) < recentFailure
 }
 
+// registryRetention returns until when a new leader keeps targets that are missing from the registry, the zero time if this instance
+// followed no leader before.
+func (f *Fleet) registryRetention() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeReadAt.IsZero() {
+		return time.Time{}
+	}
+
+	return f.storeReadAt.Add(time.Duration(retentionFraction * float64(f.drainBound)))
+}
+
 // hasView reports whether the view was read since the start.
 func (f *Fleet) hasView() bool {
 	f.mu.Lock()
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -26,6 +26,7 @@
 	timers   *timer.Service
 	version  atomic.Uint64 // version of the stored configuration
 	calls    atomic.Int64  // calls of all instances to the store
+	silent   atomic.Bool   // the store answers nothing
 
 	mu        sync.Mutex
 	instances map[string]*followingInstance
@@ -41,6 +42,8 @@
 	// isolated cuts the instance off from the others, and storeCut from the store.
 	isolated atomic.Bool
 	storeCut atomic.Bool
+	// lostAll is set once the instance has dropped all its targets.
+	lostAll atomic.Bool
 }
 
 func newFollowingFleet(names ...string) *followingFleet {
@@ -63,8 +66,14 @@
 // keyValueStore returns the store as an instance reaches it, with its calls counted.
 func (f *followingFleet) keyValueStore(i *followingInstance) control.KeyValueStore {
 	inner := f.store.KeyValueStore()
-	call := func() error {
+	call := func(ctx context.Context) error {
 		f.calls.Add(1)
+		for f.silent.Load() {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
 		if i.storeCut.Load() {
 			return errCut
 		}
@@ -74,21 +83,21 @@
 
 	return control.KeyValueStore{
 		Get: func(ctx context.Context, key string) (control.Entry, uint64, error) {
-			if err := call(); err != nil {
+			if err := call(ctx); err != nil {
 				return control.Entry{}, 0, err
 			}
 
 			return inner.Get(ctx, key)
 		},
 		List: func(ctx context.Context, prefix string) ([]control.Entry, uint64, error) {
-			if err := call(); err != nil {
+			if err := call(ctx); err != nil {
 				return nil, 0, err
 			}
 
 			return inner.List(ctx, prefix)
 		},
 		Wait: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]control.Entry, uint64, error) {
-			if err := call(); err != nil {
+			if err := call(ctx); err != nil {
 				return nil, 0, err
 			}
 			ctx, cancel := context.WithCancel(ctx)
@@ -107,21 +116,21 @@
 			return changes, revision, err
 		},
 		Commit: func(ctx context.Context, t control.Transaction) (uint64, error) {
-			if err := call(); err != nil {
+			if err := call(ctx); err != nil {
 				return 0, err
 			}
 
 			return inner.Commit(ctx, t)
 		},
 		Grant: func(ctx context.Context, ttl time.Duration) (control.Lease, time.Duration, error) {
-			if err := call(); err != nil {
+			if err := call(ctx); err != nil {
 				return 0, 0, err
 			}
 
 			return inner.Grant(ctx, ttl)
 		},
 		Renew: func(ctx context.Context, lease control.Lease) error {
-			if err := call(); err != nil {
+			if err := call(ctx); err != nil {
 				return err
 			}
 
@@ -208,6 +217,9 @@
 	targets := control.NewTargets(f.registry.source(), f.timers, func(d *directory.Directory) {
 		i.mu.Lock()
 		defer i.mu.Unlock()
+		if i.current.Len() > 0 && d.Len() == 0 {
+			i.lostAll.Store(true)
+		}
 		i.current = d
 	})
 	leadership := control.NewLeadership(i.fleet, targets, store, f.timers, time.Second, nil,
@@ -426,6 +438,29 @@
 		f.settle()
 	})
 
+	It("keeps targets whose entries expired during an outage that only the leader saw, which was killed in it", func() {
+		f := newFollowingFleet(names(8)...)
+		leader := f.settle()
+		f.expectTargets(1, "5s")
+		// For some time after its start, an instance keeps missing targets anyway.
+		time.Sleep(2500 * time.Millisecond)
+		f.silent.Store(true)
+		f.registry.set(errors.New("store unavailable"))
+		time.Sleep(500 * time.Millisecond)
+		f.kill(leader)
+		f.registry.set(nil)
+		f.silent.Store(false)
+		// The target registers again some time after the store has recovered.
+		Eventually(func() string { return f.all()[0].fleet.View().Leader }, "5s").ShouldNot(BeElementOf("", leader))
+		time.Sleep(300 * time.Millisecond)
+		f.registry.set(nil, target("a"))
+		f.settle()
+		f.expectTargets(1, "5s")
+		for _, i := range f.all() {
+			Expect(i.lostAll.Load()).To(BeFalse(), i.name)
+		}
+	})
+
 	It("does not make all instances call the store at once when the leader is lost", func() {
 		const instances = 60
 		f := newFollowingFleet(names(instances)...)
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -282,6 +282,7 @@
 		if t.fleet.storeFailedRecently() {
 			t.targets.expectMissing()
 		}
+		t.targets.retainUntil(t.fleet.registryRetention())
 		if err = t.targets.Read(ctx); err != nil {
 			return err
 		}
--- a/internal/tier/control/targets.go
+++ b/internal/tier/control/targets.go
@@ -35,6 +35,7 @@
 	current   *directory.Directory
 	// recoveredAt is when the last outage of the store ended, or when the directory was seeded. Zero if neither has happened.
 	recoveredAt time.Time
+	retainEnd   time.Time // see retainUntil
 	faultCount  int
 }
 
@@ -84,6 +85,11 @@
 // registry itself.
 func (t *Targets) expectMissing() { t.recoveredAt = t.timers.Now() }
 
+// retainUntil makes the reads before a time keep targets that are missing. It is called by a new leader: while there was none, entries
+// may have expired in an outage of the store that only the previous leader has seen. A missing target was still registered when that
+// leader last read the registry, so keeping it for less than the drain bound since then breaks no bound.
+func (t *Targets) retainUntil(end time.Time) { t.retainEnd = end }
+
 // Read lists the registry once and replaces the directory by the result.
 func (t *Targets) Read(ctx context.Context) error {
 	err := t.read(ctx)
@@ -107,7 +113,7 @@
 	}
 	t.logFaults(listed.Faults)
 	targets := listed.Targets
-	if !t.recoveredAt.IsZero() && now.Sub(t.recoveredAt) < missingTargetGrace {
+	if !t.recoveredAt.IsZero() && now.Sub(t.recoveredAt) < missingTargetGrace || now.Before(t.retainEnd) {
 		targets = t.retainMissing(targets)
 	}
 	t.current = directory.New(targets)
