--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build test lint format tools clean demo prove processes soak soak-many soak-short soak-without
+.PHONY: build test lint format tools clean demo prove fuzz processes soak soak-many soak-short soak-without
 .PHONY: bench bench-short bench-limits bench-control
 
 build:
@@ -35,6 +35,10 @@
 prove:
 	scripts/prove
 
+# Feeds the decoders that read from outside with generated inputs, FUZZ_TIME (3s) for each.
+fuzz:
+	scripts/fuzz
+
 # Kills and pauses real processes under load and compares the results of callers with the targets' journals.
 processes: build
 	scripts/processes
--- a/internal/emulator/replay/query.go
+++ b/internal/emulator/replay/query.go
@@ -20,6 +20,7 @@
 
 	origin, gatherer *instance     // the instance that received the query, and the one that gathers it
 	answerDelay      time.Duration // the network delay of the answer from the gatherer to the origin
+	assumedDelay     time.Duration // the delay that the gatherer was told to assume
 	answered, failed int           // the shards that have answered, and those that cannot answer any more
 	shards           []shardState
 	done             bool
@@ -54,8 +55,12 @@
 
 		return
 	}
-	delay := s.transfer(i, q.gatherer.location.AvailabilityZone, answerBytes)
-	q.answerDelay = delay
+	zone := q.gatherer.location.AvailabilityZone
+	delay := s.transfer(i, zone, answerBytes)
+	q.answerDelay, q.assumedDelay = delay, i.location.RoundTrip(zone)/2
+	if i.location.RoundTrips != nil {
+		s.schedule(2*delay, func() { i.location.RoundTrips.Observe(zone, 2*delay) })
+	}
 	s.schedule(delay, func() {
 		q.gatherer.active++
 		q.gather()
@@ -248,7 +253,7 @@
 
 // answerBy returns the time, counted from the caller's first attempt, by which the gatherer must answer to meet the objective.
 func (q *query) answerBy() time.Duration {
-	return q.sim.pattern.Queries.Objective.Std() - q.answerDelay
+	return q.sim.pattern.Queries.Objective.Std() - q.assumedDelay
 }
 
 // decide ends the query if its outcome is known. Otherwise, it schedules another call for the time at which the verdict may change.
@@ -267,7 +272,7 @@
 	}
 	verdict := coverage.Decide(coverage.Facts{
 		Shards: len(q.shards), Parts: q.answered, Failed: q.failed, Minimum: q.minimumParts(), Elapsed: elapsed,
-		Objective: s.pattern.Queries.Objective.Std(), ReturnPath: q.answerDelay,
+		Objective: s.pattern.Queries.Objective.Std(), ReturnPath: q.assumedDelay,
 	})
 	switch {
 	case verdict.Return:
--- a/internal/emulator/replay/replay.go
+++ b/internal/emulator/replay/replay.go
@@ -39,11 +39,13 @@
 	Admission Mechanism = "Admission"
 	// Placement off: the instance that received a query gathers it.
 	Placement Mechanism = "Placement"
+	// RoundTrips off: the usual times over the distance are assumed instead of measured ones.
+	RoundTrips Mechanism = "RoundTrips"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{Choice, Hedging, Coverage, Budget, Admission, Placement}
+	return []Mechanism{Choice, Hedging, Coverage, Budget, Admission, Placement, RoundTrips}
 }
 
 // Policy selects the mechanisms that are off.
--- a/internal/emulator/replay/replay_test.go
+++ b/internal/emulator/replay/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -40,6 +41,8 @@
 	Entry("admission control increases the worth while more queries arrive than the instances can serve",
 		"burst", replay.Admission),
 	Entry("gathering at strong instances increases the worth while most instances are small", "small-machines", replay.Placement),
+	Entry("measured round-trip times increase the worth while the regions are farther apart than usual",
+		"far-regions", replay.RoundTrips),
 )
 
 var _ = Describe("Budget", func() {
@@ -51,6 +54,24 @@
 	})
 })
 
+var _ = DescribeTable("A fleet of the size that the system is designed for is replayed within a minute, and queries are answered",
+	func(name string, instances, replicas int) {
+		p := load(name)
+		count := 0
+		for _, group := range p.Instances {
+			count += group.Count
+		}
+		Expect(count).To(Equal(instances))
+		Expect(p.Targets.Shards * p.Targets.Replicas).To(BeNumerically(">=", replicas))
+		began := time.Now()
+		result := replay.Run(p, replay.Policy{}, 1)
+		Expect(time.Since(began)).To(BeNumerically("<", time.Minute))
+		Expect(result.Worth).To(BeNumerically(">", 0.9), "%s", &result)
+	},
+	Entry("with 195 instances and 432 replicas", "size-195", 195, 432),
+	Entry("with 450 instances and 3,200 replicas", "size-450", 450, 3200),
+)
+
 var _ = Describe("Run", func() {
 	It("returns the same result for the same seed, so that a finding can be reproduced", func() {
 		p := load("pauses")
--- a/internal/emulator/replay/world.go
+++ b/internal/emulator/replay/world.go
@@ -76,6 +76,9 @@
 		location:  choice.Place{AvailabilityZone: zone, Region: s.pattern.Zones[zone], Regions: s.pattern.Zones},
 		processor: processor, linkBits: linkBits, replicas: make(map[*replica]*replicaState),
 	}
+	if !s.policy.Off.Has(RoundTrips) {
+		i.location.RoundTrips = choice.NewRoundTrips()
+	}
 	for _, replicas := range s.shards {
 		nearest := choice.OtherRegion
 		for _, r := range replicas {
--- /dev/null
+++ b/internal/tier/peer/fuzz_test.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// FuzzMessageIsRejectedOrValid feeds the decoders of all messages with whatever a peer may send.
+func FuzzMessageIsRejectedOrValid(f *testing.F) {
+	for _, message := range []any{
+		&GatherRequest{RequestID: "r", Route: "g", Version: 7, Method: "GET", Head: []byte("GET / HTTP/1.1\r\n"), Left: time.Second},
+		&GatherAccepted{Version: 7, Active: 1},
+		&GatherAnswer{Status: "Answered", Stamps: []string{"s"}, Records: make([]byte, 16)},
+		&NoticeRequest{Leader: 7, Name: "a"},
+		&FollowRequest{Name: "a", AvailabilityZone: "z", Processor: 1},
+		&FollowUpdate{Term: 7, Changes: []byte{1, 2, 3}},
+	} {
+		data, err := cbor.Marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var request GatherRequest
+		if (encoding{}).Unmarshal(data, &request) == nil && (request.Left <= 0 || len(request.Shards) > maxShards) {
+			t.Fatalf("accepted request %+v", request)
+		}
+		var answer GatherAnswer
+		if (encoding{}).Unmarshal(data, &answer) == nil && answer.Missing < 0 {
+			t.Fatalf("accepted answer %+v", answer)
+		}
+		for _, message := range []any{&GatherAccepted{}, &NoticeRequest{}, &FollowRequest{}, &FollowAck{}} {
+			_ = (encoding{}).Unmarshal(data, message)
+		}
+		var update FollowUpdate
+		if (encoding{}).Unmarshal(data, &update) == nil {
+			_, _ = decodeUpdate(&update)
+		}
+	})
+}
