--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -39,6 +39,8 @@
 	name          string
 	self          control.Instance
 	configuration *control.Configuration
+	// holdCommit, if set, is called before each commit of the instance. The commit then lands whether or not the instance still waits.
+	holdCommit atomic.Pointer[func()]
 	// isolated cuts the instance off from the others, and storeCut from the store.
 	isolated atomic.Bool
 	storeCut atomic.Bool
@@ -116,6 +118,11 @@
 			return changes, revision, err
 		},
 		Commit: func(ctx context.Context, t control.Transaction) (uint64, error) {
+			if hold := i.holdCommit.Load(); hold != nil {
+				(*hold)()
+
+				return inner.Commit(context.WithoutCancel(ctx), t)
+			}
 			if err := call(ctx); err != nil {
 				return 0, err
 			}
@@ -473,6 +480,61 @@
 		Expect(f.calls.Load()-before).To(BeNumerically("<", 2*instances), "calls until all follow the next leader")
 	})
 
+	It("rejects a write of an earlier leader that lands after a later one has begun, so that the mirror never goes back", func() {
+		f := newFollowingFleet(names(5)...)
+		first := f.settle()
+		release, landed := make(chan struct{}), make(chan struct{})
+		hold := func() { <-release }
+		f.instances[first].holdCommit.Store(&hold)
+		f.registry.set(nil, target("a"), target("late"))
+		// The leader reads the registry twice a second, and then waits in its commit.
+		time.Sleep(700 * time.Millisecond)
+		f.kill(first)
+		f.registry.set(nil, target("a"), target("b"), target("c"))
+		f.expectTargets(3, "5s")
+		go func() {
+			close(release)
+			time.Sleep(200 * time.Millisecond)
+			close(landed)
+		}()
+		<-landed
+		entries, _, err := f.store.KeyValueStore().List(context.Background(), "hickorynotch/targets/")
+		Expect(err).NotTo(HaveOccurred())
+		var keys []string
+		for _, e := range entries {
+			keys = append(keys, e.Key)
+		}
+		Expect(keys).To(ConsistOf("hickorynotch/targets/a", "hickorynotch/targets/b", "hickorynotch/targets/c"))
+		f.expectTargets(3, "1s")
+	})
+
+	It("refuses the updates of an earlier leader after a later one was followed", func() {
+		store := memory.New(timer.New())
+		store.Put("hickorynotch/leader", []byte(`{"Name":"b","Synced":true,"Peer":"10.0.0.2:1"}`))
+		refused := make(chan error, 1)
+		fleet := control.NewFleet(store.KeyValueStore(), control.Instance{Name: "a"}, timer.New(), control.WithDrainBound(time.Second),
+			control.WithFollowing(&control.Following{
+				Version: func() uint64 { return 1 }, OnVersion: func(uint64) {},
+				Follow: func(_ context.Context, _ netip.AddrPort, _ *control.FollowRequest, receive func(*control.Update) error) error {
+					Expect(receive(&control.Update{Term: 9, Changes: &control.Changes{Reset: true}})).To(Succeed())
+					err := receive(&control.Update{Term: 8, Changes: &control.Changes{Reset: true}})
+					select {
+					case refused <- err:
+					default:
+					}
+
+					return err
+				},
+			}))
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() {
+			defer GinkgoRecover()
+			_ = fleet.Run(ctx)
+		}()
+		Eventually(refused, "3s").Should(Receive(MatchError(ContainSubstring("is over"))))
+	})
+
 	It("removes an instance that is killed from the list of all others", func() {
 		f := newFollowingFleet(names(6)...)
 		leader := f.settle()
