control: keep the term of a leader whose write of the mirror failed

It ended its term on the error, so all 194 sessions ended and the whole fleet turned to the store: 6,157 calls instead of 3,749, and the directory was rebuilt on every instance. Change: after a write of unknown outcome, the leader stays leader, reads the mirror again and passes on what differs. A conflict or an ended lease still ends the term.

--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -182,6 +183,25 @@
 	f.broadcast()
 }
 
+// setTargets replaces the mirror by one that was read from the store.
+func (f *Feed) setTargets(entries []Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Key] = true
+		if old, ok := f.entries[e.Key]; !ok || old.Deleted || !slices.Equal(old.Value, e.Value) {
+			f.put(e)
+		}
+	}
+	for key, old := range f.entries {
+		if strings.HasPrefix(key, mirrorPrefix) && !old.Deleted && !present[key] {
+			f.put(Entry{Key: key, Deleted: true})
+		}
+	}
+	f.broadcast()
+}
+
 // SetConfiguration sets the configuration that is passed on.
 func (f *Feed) SetConfiguration(c *StoredConfiguration) {
 	f.mu.Lock()
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -41,6 +41,8 @@
 	configuration *control.Configuration
 	// holdCommit, if set, is called before each commit of the instance. The commit then lands whether or not the instance still waits.
 	holdCommit atomic.Pointer[func()]
+	// loseReplies makes the commits of the instance fail although they land.
+	loseReplies atomic.Bool
 	// isolated cuts the instance off from the others, and storeCut from the store.
 	isolated atomic.Bool
 	storeCut atomic.Bool
@@ -127,7 +129,12 @@
 				return 0, err
 			}
 
-			return inner.Commit(ctx, t)
+			revision, err := inner.Commit(ctx, t)
+			if i.loseReplies.Load() {
+				return 0, errCut
+			}
+
+			return revision, err
 		},
 		Grant: func(ctx context.Context, ttl time.Duration) (control.Lease, time.Duration, error) {
 			if err := call(ctx); err != nil {
@@ -480,6 +487,21 @@
 		Expect(f.calls.Load()-before).To(BeNumerically("<", 2*instances), "calls until all follow the next leader")
 	})
 
+	It("goes on under the same leader after a write of the mirror whose reply was lost, and passes on what it wrote", func() {
+		f := newFollowingFleet(names(6)...)
+		leader := f.settle()
+		term := f.instances[leader].fleet.View().LeaderRevision
+		f.instances[leader].loseReplies.Store(true)
+		f.registry.set(nil, target("a"), target("b"))
+		time.Sleep(1200 * time.Millisecond)
+		f.instances[leader].loseReplies.Store(false)
+		f.expectTargets(2, "3s")
+		f.registry.set(nil, target("b"))
+		f.expectTargets(1, "3s")
+		Expect(f.settle()).To(Equal(leader))
+		Expect(f.instances[leader].fleet.View().LeaderRevision).To(Equal(term))
+	})
+
 	It("rejects a write of an earlier leader that lands after a later one has begun, so that the mirror never goes back", func() {
 		f := newFollowingFleet(names(5)...)
 		first := f.settle()
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -212,7 +212,7 @@
 			continue
 		}
 		l.fleet.feed.confirm()
-		if err := t.syncMirror(ctx, true); err != nil {
+		if err := t.updateMirror(ctx); err != nil {
 			return err
 		}
 	}
@@ -231,7 +231,7 @@
 	lastNotice     Notice
 	lastNoticeTick int
 	tick           int
-	// storedMirror is the content of the stored mirror by target ID, as last read or written in this term.
+	// storedMirror is the content of the stored mirror by target ID, as last read or written in this term, nil if it is not known.
 	storedMirror map[string]mirrored
 }
 
@@ -262,22 +262,10 @@
 			return err
 		}
 		t.fleet.feed.acquire(t.revision, t.fleet.View().Instances)
-		entries, _, err := t.store.List(ctx, mirrorPrefix)
+		known, err := t.loadMirror(ctx)
 		if err != nil {
 			return err
 		}
-		t.storedMirror = make(map[string]mirrored, len(entries))
-		var known []*directory.Target
-		for i := range entries {
-			id := entries[i].Key[len(mirrorPrefix):]
-			// An invalid value decodes to the zero value, which equals no target, so that syncMirror overwrites or deletes the key.
-			m, ok := decodeEntry[mirrored](t.log, &entries[i])
-			t.storedMirror[id] = m
-			t.mirrorRevision = max(t.mirrorRevision, entries[i].Revision)
-			if ok {
-				known = append(known, m.target(id))
-			}
-		}
 		t.targets.Seed(directory.New(known))
 		if t.fleet.storeFailedRecently() {
 			t.targets.expectMissing()
@@ -295,6 +283,53 @@
 	})
 }
 
+// loadMirror reads the stored mirror. It returns the targets in it.
+func (t *term) loadMirror(ctx context.Context) (known []*directory.Target, err error) {
+	entries, _, err := t.store.List(ctx, mirrorPrefix)
+	if err != nil {
+		return nil, err
+	}
+	t.storedMirror = make(map[string]mirrored, len(entries))
+	for i := range entries {
+		id := entries[i].Key[len(mirrorPrefix):]
+		// An invalid value decodes to the zero value, which equals no target, so that syncMirror overwrites or deletes the key.
+		m, ok := decodeEntry[mirrored](t.log, &entries[i])
+		t.storedMirror[id] = m
+		t.mirrorRevision = max(t.mirrorRevision, entries[i].Revision)
+		if ok {
+			known = append(known, m.target(id))
+		}
+	}
+
+	return known, nil
+}
+
+// updateMirror synchronizes the mirror during a term. After a write whose outcome is not known, the mirror is read again first. Such a
+// failure does not end the term: if it did, the whole fleet would turn to the store at the begin of an outage.
+func (t *term) updateMirror(ctx context.Context) error {
+	err := t.callWithTimeout(ctx, func(ctx context.Context) error {
+		if t.storedMirror != nil {
+			return nil
+		}
+		if _, err := t.loadMirror(ctx); err != nil {
+			return err
+		}
+		t.fleet.feed.setTargets(t.mirrorEntries())
+
+		return nil
+	})
+	if err == nil {
+		err = t.syncMirror(ctx, true)
+	}
+	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) || ctx.Err() != nil {
+		return err
+	}
+	t.storedMirror = nil
+	t.log.Log(event.StoreUnavailable, "Part", "Mirror", "Error", err)
+
+	return nil
+}
+
 // writeLeaderKey writes the leader's key if its revision is still the expected one, and returns the new revision.
 func (t *term) writeLeaderKey(ctx context.Context, expected uint64, synced bool) (uint64, error) {
 	value, err := json.Marshal(leader{Name: t.fleet.self.Name, Synced: synced, Peer: t.fleet.self.Peer})
