--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -61,7 +61,10 @@
 		if err != nil {
 			continue
 		}
-		out = append(out, port)
+		// A port that was found before is free again.
+		if !slices.Contains(out, port) {
+			out = append(out, port)
+		}
 		if err := l.Close(); err != nil {
 			return nil, err
 		}
