control: describe the sessions with the leader where the package is introduced

Cause: read as a newcomer, the package comment and three others still described an instance that always reads the store itself. Change: comments only. Measured: nothing changes in the program. Conclusion: none.

--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -1,15 +1,17 @@
 // Package control keeps an instance's copy of the fleet's shared state up to date: the configuration in force, the
 // registered instances and the directory of targets.
 //
-// This state is kept in the platform's store. Configuration and Fleet read their part of the store, long-poll it for changes and
-// adopt newer versions. While the store is unavailable or returns data that cannot be decoded, the last valid state stays in use:
+// This state is kept in the platform's store. Leadership elects one instance, the leader, that reads it for the fleet: the
+// configuration, by means of Configuration, and the registry of targets, by means of Targets, which it also mirrors in the store. Its
+// Feed passes the state on to the other instances, whose Fleet follows the leader. A session with the leader is also the registration
+// of an instance:
 //
-//	configuration := control.NewConfiguration(source, timers, pollTime)
-//	err := configuration.Run(ctx)
+//	fleet := control.NewFleet(store, self, timers, control.WithFollowing(following))
+//	configuration := control.NewConfiguration(source, timers, fleet.PollTime, control.WithFleet(fleet))
 //
-// The platform also keeps the registry of targets, whose entries change with each heartbeat of a target. Leadership elects the
-// instance that reads the registry, by means of Targets, and mirrors it for the others. Registration keeps the entry of an instance
-// in the store, and Gate limits the calls that an instance makes while the store fails.
+// An instance that cannot follow the leader reads the store itself: Configuration and Fleet long-poll it for changes, and Registration
+// keeps the entry of the instance there. While the store is unavailable or returns data that cannot be decoded, the last valid state
+// stays in use. Gate limits the calls that an instance makes meanwhile.
 package control
 
 import (
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -25,8 +25,8 @@
 )
 
 const (
-	// instanceTTL is the time after which the registration of an instance expires without a renewal. Peers detect a failed instance
-	// earlier by themselves, so renewals can be rare: 80 instances make 24 a second in total, and each costs a tenth of a call.
+	// instanceTTL is the time after which the registration of an instance that does not follow the leader expires without a renewal.
+	// Peers detect a failed instance earlier by themselves, so renewals can be rare.
 	instanceTTL           = 10 * time.Second
 	instanceRenewInterval = instanceTTL / 3
 	// After a change, the next long poll is delayed by batchDelayPerInstance times the number of instances, so that one call
@@ -42,7 +42,7 @@
 	maximumPollTime     = 28 * time.Second
 	fleetPollsPerSecond = 3
 	// noticeTimeout is the time without a notice from the leader after which the store is read again. It is checked each
-	// noticeCheckInterval. A leader sends at least one notice a second.
+	// noticeCheckInterval. A leader sends at least one notice a second to each instance that does not follow it.
 	noticeTimeout       = 2 * time.Second
 	noticeCheckInterval = 500 * time.Millisecond
 	// changeTimeout is how long a change that a notice announced may take to arrive, in addition to the delay of the next long
@@ -50,8 +50,8 @@
 	changeTimeout = 700 * time.Millisecond
 )
 
-// Fleet watches the keys that the instances write to the store: their registrations, the leader, and the leader's mirror of the
-// registry of targets.
+// Fleet keeps the view of the fleet up to date: the registered instances, the leader, and the leader's mirror of the registry of
+// targets. It follows the leader if it can, and otherwise watches the keys of the instances in the store.
 type Fleet struct {
 	store       KeyValueStore
 	self        Instance
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -72,7 +72,8 @@
 	leading
 )
 
-// searchStep is the next call to the store of an instance that follows no leader.
+// searchStep is the next call to the store of an instance that follows no leader. It starts with findLeader, or with readAll if callers
+// may already be waiting, and returns to findLeader after each failure. Whenever a leader is known that can be followed, it is.
 type searchStep int
 
 const (
