control: measure how long ago the configuration in force was compared with the stored one

Each instance now keeps the time of the last comparison, its own read or the leader's, which the leader passes on with its updates. ConfigurationUnconfirmed (2006) logs when a change may be overdue, and hickorynotch_configuration_age shows the age.

--- a/internal/run/event/configuration.go
+++ b/internal/run/event/configuration.go
@@ -7,4 +7,6 @@
 	ConfigurationOlder    = declare(2003, "ConfigurationOlder", Warning, "A source offered a configuration older than the one in force; it is ignored.")
 	ConfigurationWatching = declare(2004, "ConfigurationWatching", Info, "This instance watches the store on behalf of its availability zone.")
 	ConfigurationDiffers  = declare(2005, "ConfigurationDiffers", Error, "A source offered the revision in force with different content; it is ignored.")
+
+	ConfigurationUnconfirmed = declare(2006, "ConfigurationUnconfirmed", Warning, "The configuration in force was not compared with the stored one for most of the time within which a change must be in force.")
 )
--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,8 @@
 	// passedOnTimeout is how long an instance that follows the leader waits for a newer configuration that a peer has, before it reads
 	// the store.
 	passedOnTimeout = 300 * time.Millisecond
+	// readMargin is the part of the bound for a change that is left for reading and decoding the configuration, beside callTimeout.
+	readMargin = 200 * time.Millisecond
 )
 
 // ConfigurationResult is the result of a read or a long poll of the stored configuration.
@@ -82,6 +85,10 @@
 	current   atomic.Pointer[route.Table]
 	health    storeHealth
 	refreshCh chan struct{}
+	// confirmation is that of the configuration in force. Once it is older than maximumAge, a change may be overdue.
+	confirmation confirmation
+	maximumAge   time.Duration
+	overdue      bool // used by Run only
 	// wanted is the newest version that another instance is known to have.
 	wanted atomic.Uint64
 	// batchDelay is the pause between a change and the next long poll. Changes within it are fetched by one call.
@@ -103,6 +110,11 @@
 	return func(c *Configuration) { c.batchDelay = delay }
 }
 
+// WithApplyBound sets the time within which a change of the stored configuration has to be in force. The default is none.
+func WithApplyBound(bound time.Duration) ConfigurationOption {
+	return func(c *Configuration) { c.maximumAge = max(bound-callTimeout-readMargin, bound/2) }
+}
+
 // WithOlder replaces the comparison by which a version older than the one in force is rejected.
 func WithOlder(isOlder func(version, inForce uint64) bool) ConfigurationOption {
 	return func(c *Configuration) { c.isOlder = isOlder }
@@ -119,6 +131,7 @@
 	return func(c *Configuration) {
 		c.usesStore = f.UsesStore
 		c.onStored = f.feed.SetConfiguration
+		f.feed.configurationAge = c.Age
 	}
 }
 
@@ -128,9 +141,10 @@
 ) *Configuration {
 	c := &Configuration{
 		source: source, timers: timers, pollTime: pollTime, refreshCh: make(chan struct{}, 1),
-		isOlder:   func(version, inForce uint64) bool { return version < inForce },
-		onStored:  func(*StoredConfiguration) {},
-		usesStore: func() (bool, <-chan struct{}) { return true, nil },
+		isOlder:    func(version, inForce uint64) bool { return version < inForce },
+		onStored:   func(*StoredConfiguration) {},
+		maximumAge: math.MaxInt64,
+		usesStore:  func() (bool, <-chan struct{}) { return true, nil },
 	}
 	for _, option := range options {
 		option(c)
@@ -153,9 +167,11 @@
 
 // Check reads the store once and adopts the result, independently of the long poll of Run.
 func (c *Configuration) Check(ctx context.Context) error {
+	started := c.timers.Now()
 	stored, err := c.read(ctx)
 	if err == nil {
 		c.adopt(stored)
+		c.confirmation.advance(started)
 	}
 
 	return err
@@ -200,8 +216,10 @@
 		}
 		var stored ConfigurationResult
 		var err error
+		confirmedAt := c.timers.Now()
 		if canPoll {
 			stored, err = c.longPoll(ctx, revision)
+			confirmedAt = c.timers.Now()
 		} else {
 			stored, err = c.read(ctx)
 		}
@@ -223,6 +241,7 @@
 		c.health.recordSuccess()
 		backoff.reset()
 		c.adopt(stored)
+		c.confirmation.advance(confirmedAt)
 		if canPoll && stored.Table != nil {
 			c.waitBatchDelay(ctx)
 		}
@@ -244,6 +263,10 @@
 		atOnce = false
 		select {
 		case <-changed:
+			continue
+		case <-c.timers.After(c.untilOverdue()):
+			c.logOverdue()
+
 			continue
 		case <-c.refreshCh:
 		case <-ctx.Done():
--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -52,6 +52,8 @@
 	Term uint64
 	// Version is the version of the configuration in force at the leader.
 	Version uint64
+	// ConfigurationAge is the time since the leader knew that version to be the stored one.
+	ConfigurationAge time.Duration
 	// StoreAge is the time since the leader last read the store successfully.
 	StoreAge time.Duration
 	// Changes are the changes since the last update, nil if there are none.
@@ -94,6 +96,8 @@
 type Feed struct {
 	timers      *timer.Service
 	onInstances func([]Instance)
+	// configurationAge returns the time since the configuration in force was known to be the stored one.
+	configurationAge func() time.Duration
 	// reporting serializes the calls of onInstances, so that an older list never replaces a newer one.
 	reporting sync.Mutex
 
@@ -138,7 +142,8 @@
 func newFeed(timers *timer.Service, onInstances func([]Instance)) *Feed {
 	return &Feed{
 		timers: timers, onInstances: onInstances, entries: make(map[string]feedEntry), presences: make(map[string]*presence),
-		changed: make(chan struct{}), recent: make(map[uint64]*Changes), limitReports: make(limitReports),
+		configurationAge: func() time.Duration { return 0 },
+		changed:          make(chan struct{}), recent: make(map[uint64]*Changes), limitReports: make(limitReports),
 	}
 }
 
@@ -455,7 +460,7 @@
 	}
 	u := &Update{Term: f.term, StoreAge: f.timers.Since(f.storeReadAt)}
 	if c := f.configuration; c != nil {
-		u.Version = c.Version
+		u.Version, u.ConfigurationAge = c.Version, f.configurationAge()
 		if c.Version > *version {
 			u.Configuration, *version = c, c.Version
 		}
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -49,9 +49,10 @@
 	// FirstStart is set if the whole fleet starts for the first time. Otherwise the instance reads all keys when it starts, because
 	// callers may already be waiting for it.
 	FirstStart bool
-	// OnConfiguration is called with a configuration that the leader passes on, and OnVersion with the version that the leader has.
+	// OnConfiguration is called with a configuration that the leader passes on, and OnVersion with the version that
+	// the leader has and the time since the leader knew it to be the stored one.
 	OnConfiguration func(*StoredConfiguration)
-	OnVersion       func(version uint64)
+	OnVersion       func(version uint64, age time.Duration)
 }
 
 // WithFollowing makes the instance follow the leader. While it does, only the leader and a few standbys read the store.
@@ -350,7 +351,7 @@
 	if u.Configuration != nil {
 		f.follow.OnConfiguration(u.Configuration)
 	}
-	f.follow.OnVersion(u.Version)
+	f.follow.OnVersion(u.Version, u.ConfigurationAge)
 	if u.Changes != nil {
 		f.publishView()
 	}
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -19,6 +19,9 @@
 	"github.com/hickorynotch/hickorynotch/internal/world/route"
 )
 
+// applyBound is the time within which a change of the configuration has to be in force on all instances that reach the store.
+const applyBound = 3 * time.Second
+
 // followingFleet is a set of instances that follow their leader over function calls, on one store in memory.
 type followingFleet struct {
 	store    *memory.Store
@@ -46,6 +49,10 @@
 	// isolated cuts the instance off from the others, and storeCut from the store.
 	isolated atomic.Bool
 	storeCut atomic.Bool
+	// silenced drops all messages between the instance and the others, which is noticed only by a timeout.
+	silenced atomic.Bool
+	// configurationCut makes the instance's reads of the configuration fail.
+	configurationCut atomic.Bool
 	// lostAll is set once the instance has dropped all its targets.
 	lostAll atomic.Bool
 }
@@ -151,7 +158,13 @@
 
 			return inner.Renew(ctx, lease)
 		},
-		End: inner.End,
+		End: func(ctx context.Context, lease control.Lease) error {
+			if i.storeCut.Load() {
+				return errCut
+			}
+
+			return inner.End(ctx, lease)
+		},
 	}
 }
 
@@ -159,7 +172,7 @@
 func (f *followingFleet) configurations(i *followingInstance) control.ConfigurationSource {
 	read := func() (control.ConfigurationResult, error) {
 		f.calls.Add(1)
-		if i.storeCut.Load() {
+		if i.storeCut.Load() || i.configurationCut.Load() {
 			return control.ConfigurationResult{}, errCut
 		}
 		version := f.version.Load()
@@ -199,14 +212,20 @@
 		f.mu.Lock()
 		leader := f.byAddress[address]
 		f.mu.Unlock()
-		if leader == nil || i.isolated.Load() != leader.isolated.Load() {
+		if leader == nil || i.isolated.Load() != leader.isolated.Load() || i.silenced.Load() {
 			return errCut
 		}
 
 		// As over the network, the first report follows some time after the begin of the session.
-		reportedAt := time.Now()
+		reportedAt, receivedAt := time.Now(), time.Now()
 
 		return leader.fleet.Feed().Serve(ctx, r, func(u *control.Update) error {
+			if i.silenced.Load() {
+				time.Sleep(time.Until(receivedAt.Add(2200 * time.Millisecond)))
+
+				return errCut
+			}
+			receivedAt = time.Now()
 			if i.isolated.Load() != leader.isolated.Load() {
 				return errCut
 			}
@@ -233,9 +252,10 @@
 		control.WithFollowing(&control.Following{
 			Follow: f.follow(i), FirstStart: true, Version: func() uint64 { return i.configuration.Version() },
 			OnConfiguration: func(c *control.StoredConfiguration) { i.configuration.Offer(c) },
-			OnVersion:       func(version uint64) { i.configuration.RefreshIfOlder(version) },
+			OnVersion:       func(version uint64, age time.Duration) { i.configuration.Confirm(version, age) },
 		}))
-	i.configuration = control.NewConfiguration(f.configurations(i), f.timers, i.fleet.PollTime, control.WithFleet(i.fleet))
+	i.configuration = control.NewConfiguration(f.configurations(i), f.timers, i.fleet.PollTime, control.WithFleet(i.fleet),
+		control.WithApplyBound(applyBound))
 	targets := control.NewTargets(f.registry.source(), f.timers, func(d *directory.Directory) {
 		i.mu.Lock()
 		defer i.mu.Unlock()
@@ -265,7 +285,8 @@
 		f.mu.Lock()
 		to := f.instances[known.Name]
 		f.mu.Unlock()
-		if to != nil && to != from && !from.fleet.Feed().Follows(known.Name) && to.isolated.Load() == from.isolated.Load() {
+		if to != nil && to != from && !from.fleet.Feed().Follows(known.Name) && to.isolated.Load() == from.isolated.Load() &&
+			!to.silenced.Load() {
 			to.fleet.HandleNotice(n)
 			to.configuration.RefreshIfOlder(n.Version)
 		}
@@ -544,7 +565,7 @@
 		refused := make(chan error, 1)
 		fleet := control.NewFleet(store.KeyValueStore(), control.Instance{Name: "a"}, timer.New(), control.WithDrainBound(time.Second),
 			control.WithFollowing(&control.Following{
-				Version: func() uint64 { return 1 }, OnVersion: func(uint64) {},
+				Version: func() uint64 { return 1 }, OnVersion: func(uint64, time.Duration) {},
 				Follow: func(_ context.Context, _ netip.AddrPort, _ *control.FollowRequest, receive func(*control.Update) error) error {
 					Expect(receive(&control.Update{Term: 9, Changes: &control.Changes{Reset: true}})).To(Succeed())
 					err := receive(&control.Update{Term: 8, Changes: &control.Changes{Reset: true}})
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -145,8 +145,11 @@
 		return nil, err
 	}
 	n.buildComponents(adapters)
+	err = n.metrics.Observe("hickorynotch.configuration.age",
+		"Time in seconds since the configuration in force was last known to be the stored one.",
+		func() float64 { return n.configuration.Age().Seconds() })
 
-	return n, nil
+	return n, err
 }
 
 // buildComponents creates the components of the instance and connects them. One control.Gate wraps all access to the store.
@@ -181,12 +184,13 @@
 			FirstStart:      settings.FirstStart,
 			Version:         func() uint64 { return n.configuration.Version() },
 			OnConfiguration: func(stored *control.StoredConfiguration) { n.configuration.Offer(stored) },
-			OnVersion:       func(version uint64) { n.configuration.RefreshIfOlder(version) },
+			OnVersion:       func(version uint64, age time.Duration) { n.configuration.Confirm(version, age) },
 		}))
 	n.configuration = control.NewConfiguration(adapters.Configurations, timers, n.members.PollTime,
 		append([]control.ConfigurationOption{
 			control.WithConfigurationLog(n.log), control.OnAdopted(n.updateConfiguration),
 			control.WithBatchDelay(settings.ApplyBound / configurationBatchDivisor), control.WithFleet(n.members),
+			control.WithApplyBound(settings.ApplyBound),
 		}, n.configurationOptions...)...)
 	n.handover = handover.New(self, place, n.peerClient, timers, n.dispatcher.Gather, handover.WithLog(n.log),
 		handover.OnNewerConfiguration(n.configuration.RefreshIfOlder),
--- a/internal/tier/peer/follow.go
+++ b/internal/tier/peer/follow.go
@@ -133,6 +133,8 @@
 	Term     uint64
 	Version  uint64
 	StoreAge time.Duration
+	// ConfigurationAge is the time since the leader knew that version to be the stored one.
+	ConfigurationAge time.Duration
 	// Changes is a compressed changeList, and Configuration the compressed configuration as it is stored. Both may be empty.
 	Changes              []byte
 	Configuration        []byte
@@ -144,6 +146,9 @@
 	if u.Term == 0 {
 		return errors.New("field Term is 0")
 	}
+	if u.ConfigurationAge < 0 {
+		return fmt.Errorf("field ConfigurationAge: %v is negative", u.ConfigurationAge)
+	}
 
 	return nil
 }
@@ -199,7 +204,7 @@
 }
 
 func encodeUpdate(u *control.Update) (message *FollowUpdate, err error) {
-	message = &FollowUpdate{Term: u.Term, Version: u.Version, StoreAge: u.StoreAge}
+	message = &FollowUpdate{Term: u.Term, Version: u.Version, StoreAge: u.StoreAge, ConfigurationAge: u.ConfigurationAge}
 	if u.Changes != nil {
 		message.Changes, err = u.Changes.Encoded(func() ([]byte, error) {
 			list := changeList{Reset: u.Changes.Reset, Entries: make([]entry, 0, len(u.Changes.Entries))}
@@ -226,7 +231,9 @@
 }
 
 func decodeUpdate(message *FollowUpdate) (u *control.Update, err error) {
-	u = &control.Update{Term: message.Term, Version: message.Version, StoreAge: message.StoreAge}
+	u = &control.Update{
+		Term: message.Term, Version: message.Version, StoreAge: message.StoreAge, ConfigurationAge: message.ConfigurationAge,
+	}
 	if len(message.Changes) > 0 {
 		data, err := decompress(message.Changes)
 		if err != nil {
--- a/internal/tier/peer/follow_test.go
+++ b/internal/tier/peer/follow_test.go
@@ -51,7 +51,7 @@
 		address := serveFollowers(func(_ context.Context, r *control.FollowRequest, send func(*control.Update) error) error {
 			received <- r
 			_ = send(&control.Update{
-				Term: 5, Version: 8, StoreAge: time.Second,
+				Term: 5, Version: 8, StoreAge: time.Second, ConfigurationAge: 2 * time.Second,
 				Changes: &control.Changes{Reset: true, Entries: []control.Entry{
 					{Key: "k", Value: []byte("v"), Revision: 3}, {Key: "gone", Revision: 4, Deleted: true},
 				}},
@@ -71,6 +71,7 @@
 		Expect(updates).To(HaveLen(1))
 		Expect(updates[0].Term).To(BeEquivalentTo(5))
 		Expect(updates[0].StoreAge).To(Equal(time.Second))
+		Expect(updates[0].ConfigurationAge).To(Equal(2 * time.Second))
 		Expect(updates[0].Changes.Reset).To(BeTrue())
 		Expect(updates[0].Changes.Entries).To(Equal([]control.Entry{
 			{Key: "k", Value: []byte("v"), Revision: 3}, {Key: "gone", Revision: 4, Deleted: true},
