control: read the configuration when it was not confirmed in time, whoever leads

What callers saw: 404 for a route of version 10, 3.4 s after the store had acknowledged it (bound 3 s), from an instance that reached the store all the while.

Cause: an instance that follows the leader, or waits for the next one, leaves the reading of the configuration to it. The wait for a next leader begins anew with each leader that is lost, an instance that loses a leader which keeps its lease waits for an election that does not come, and a leader that renews its lease but cannot read the configuration is trusted. In all three the time without a read has no bound below that of a change. Class: a deadline that is met only as long as several steps of others succeed in time.

Change: each instance reads the configuration itself once its last confirmation is older than the bound less the time for a call. The leader sends an update with each of its reads, so that followers at rest stay below that.

--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -47,7 +47,8 @@
 	// passedOnTimeout is how long an instance that follows the leader waits for a newer configuration that a peer has, before it reads
 	// the store.
 	passedOnTimeout = 300 * time.Millisecond
-	// readMargin is the part of the bound for a change that is left for reading and decoding the configuration, beside callTimeout.
+	// readMargin is the part of the bound for a change that is left for overdueSpread and for decoding the configuration, beside
+	// callTimeout.
 	readMargin = 200 * time.Millisecond
 )
 
@@ -88,7 +89,6 @@
 	// confirmation is that of the configuration in force. Once it is older than maximumAge, a change may be overdue.
 	confirmation confirmation
 	maximumAge   time.Duration
-	overdue      bool // used by Run only
 	// wanted is the newest version that another instance is known to have.
 	wanted atomic.Uint64
 	// batchDelay is the pause between a change and the next long poll. Changes within it are fetched by one call.
@@ -251,8 +251,9 @@
 	return ctx.Err()
 }
 
-// awaitTurn waits while the instance follows the leader, unless a version that another instance has does not arrive. It returns
-// false if it has waited, because changes may have been missed meanwhile.
+// awaitTurn waits while the instance follows the leader or waits for one, unless a version that another instance has does not arrive,
+// or no confirmation arrives: that must not depend on a leader being elected and reached in time. It returns false if it has waited,
+// because changes may have been missed meanwhile.
 func (c *Configuration) awaitTurn(ctx context.Context) (atOnce bool) {
 	atOnce = true
 	for {
@@ -265,7 +266,9 @@
 		case <-changed:
 			continue
 		case <-c.timers.After(c.untilOverdue()):
-			c.logOverdue()
+			if c.isOverdue() {
+				return false
+			}
 
 			continue
 		case <-c.refreshCh:
--- a/internal/tier/control/confirmation.go
+++ b/internal/tier/control/confirmation.go
@@ -1,12 +1,16 @@
 package control
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 )
 
+// overdueSpread is the time over which instances that have to read the configuration spread their reads.
+const overdueSpread = 100 * time.Millisecond
+
 // confirmation is the latest time at which the configuration in force was known to be the one that is stored.
 type confirmation struct {
 	mu sync.Mutex
@@ -42,21 +46,19 @@
 	c.RefreshIfOlder(version)
 }
 
-// untilOverdue returns the time until a change of the stored configuration may be overdue.
+// untilOverdue returns the time until a change of the stored configuration may be overdue. The instances that have lost the same leader
+// do not all read the store at once.
 func (c *Configuration) untilOverdue() time.Duration {
-	if c.overdue {
-		return c.maximumAge
-	}
-
-	return max(c.maximumAge-c.Age(), 0)
+	return max(c.maximumAge-c.Age(), 0) + rand.N(overdueSpread)
 }
 
-// logOverdue logs that a change of the stored configuration may be overdue, once until the next confirmation.
-func (c *Configuration) logOverdue() {
+// isOverdue reports, and logs, that a change of the stored configuration may be overdue.
+func (c *Configuration) isOverdue() bool {
 	age := c.Age()
-	overdue := age >= c.maximumAge
-	if overdue && !c.overdue {
-		c.log.Log(event.ConfigurationUnconfirmed, "Version", c.Version(), "Age", age)
+	if age < c.maximumAge {
+		return false
 	}
-	c.overdue = overdue
+	c.log.Log(event.ConfigurationUnconfirmed, "Version", c.Version(), "Age", age)
+
+	return true
 }
--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -238,6 +238,13 @@
 	}
 }
 
+// announce sends an update to all followers, so that they learn without delay that the leader has read the configuration.
+func (f *Feed) announce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broadcast()
+}
+
 // confirm records that the leader has read the store.
 func (f *Feed) confirm() {
 	f.mu.Lock()
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -204,6 +204,8 @@
 		if t.tick%noticeIntervalTicks == 0 {
 			if err := l.readConfiguration(ctx); err != nil {
 				l.log.Log(event.StoreUnavailable, "Part", "Leader", "Error", err)
+			} else {
+				l.fleet.feed.announce()
 			}
 		}
 		if err := l.targets.Read(ctx); err != nil {
