control: read the registry of targets when no leader has passed it on in time

What callers would see: requests to a target that drains, later than the drain bound, by instances that reach the store.

Cause: as for the configuration, an instance relies on the leader for the registry without a bound on how long that may take.

Change: an instance without word of a leader's read for the drain bound less half a second reads the registry itself, and keeps what it read until a leader has read it later. Both limits use the same margin now. TargetsUnconfirmed (4020) logs it.

Evidence: 'A target that drains', with 8 and 195 instances whose next leaders are lost and with an instance that loses a live leader.

--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -29,6 +29,8 @@
 	TargetLimited   = declare(4018, "TargetLimited", Warning, "A target names a limit for the requests a second of all instances; Requests is the number of requests that this instance sent to it before.")
 	TargetUnlimited = declare(4019, "TargetUnlimited", Info, "A target names no limit any more; Requests is the number of requests that this instance sent to it meanwhile.")
 
+	TargetsUnconfirmed = declare(4020, "TargetsUnconfirmed", Warning, "No leader has passed on the registry of targets for most of the drain bound; this instance reads it itself.")
+
 	GathererFailed  = declare(5014, "GathererFailed", Warning, "A peer failed to gather a query; another instance gathers it.")
 	RequestGathered = declare(5015, "RequestGathered", Info, "This instance gathered a query, or some of its shards, for a peer.")
 	RequestAnswered = declare(5010, "RequestAnswered", Info, "A request was answered; the line shows what determined its result.")
--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -17,7 +17,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -47,9 +46,8 @@
 	// passedOnTimeout is how long an instance that follows the leader waits for a newer configuration that a peer has, before it reads
 	// the store.
 	passedOnTimeout = 300 * time.Millisecond
-	// readMargin is the part of the bound for a change that is left for overdueSpread and for decoding the configuration, beside
-	// callTimeout.
-	readMargin = 200 * time.Millisecond
+	// readMargin is the part of a bound that is left for an instance to read the store itself, including overdueSpread.
+	readMargin = 500 * time.Millisecond
 )
 
 // ConfigurationResult is the result of a read or a long poll of the stored configuration.
@@ -112,7 +110,7 @@
 
 // WithApplyBound sets the time within which a change of the stored configuration has to be in force. The default is none.
 func WithApplyBound(bound time.Duration) ConfigurationOption {
-	return func(c *Configuration) { c.maximumAge = max(bound-callTimeout-readMargin, bound/2) }
+	return func(c *Configuration) { c.maximumAge = maximumAge(bound) }
 }
 
 // WithOlder replaces the comparison by which a version older than the one in force is rejected.
@@ -143,7 +141,7 @@
 		source: source, timers: timers, pollTime: pollTime, refreshCh: make(chan struct{}, 1),
 		isOlder:    func(version, inForce uint64) bool { return version < inForce },
 		onStored:   func(*StoredConfiguration) {},
-		maximumAge: math.MaxInt64,
+		maximumAge: unbounded,
 		usesStore:  func() (bool, <-chan struct{}) { return true, nil },
 	}
 	for _, option := range options {
--- a/internal/tier/control/confirmation.go
+++ b/internal/tier/control/confirmation.go
@@ -8,9 +8,16 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 )
 
-// overdueSpread is the time over which instances that have to read the configuration spread their reads.
+// overdueSpread is the time over which the instances that have lost the same leader spread their reads of the store.
 const overdueSpread = 100 * time.Millisecond
 
+// unbounded is the maximum age of a state without a bound.
+const unbounded = 365 * 24 * time.Hour
+
+// maximumAge returns the age from which an instance no longer relies on the leader for a state whose changes have to arrive within a
+// bound.
+func maximumAge(bound time.Duration) time.Duration { return max(bound-readMargin, bound/2) }
+
 // confirmation is the latest time at which the configuration in force was known to be the one that is stored.
 type confirmation struct {
 	mu sync.Mutex
@@ -46,8 +53,7 @@
 	c.RefreshIfOlder(version)
 }
 
-// untilOverdue returns the time until a change of the stored configuration may be overdue. The instances that have lost the same leader
-// do not all read the store at once.
+// untilOverdue returns the time until a change of the stored configuration may be overdue.
 func (c *Configuration) untilOverdue() time.Duration {
 	return max(c.maximumAge-c.Age(), 0) + rand.N(overdueSpread)
 }
--- a/internal/tier/control/configuration_age_test.go
+++ b/internal/tier/control/confirmation_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 )
 
 // expectInForce waits until a version that was stored at the given time is in force on an instance, within the bound.
@@ -21,12 +23,7 @@
 		f.kill(f.settle())
 		f.version.Store(2)
 		storedAt := time.Now()
-		for time.Since(storedAt) < applyBound-200*time.Millisecond {
-			if name := f.keyHolder(); f.alive(name) {
-				f.kill(name)
-			}
-			time.Sleep(time.Millisecond)
-		}
+		f.killLeaders(storedAt.Add(applyBound - 200*time.Millisecond))
 		for _, i := range f.all() {
 			expectInForce(i, 2, storedAt)
 		}
@@ -63,6 +60,16 @@
 	})
 })
 
+// killLeaders kills each instance that acquires the leader's key, until the given time.
+func (f *followingFleet) killLeaders(until time.Time) {
+	for time.Now().Before(until) {
+		if name := f.keyHolder(); f.alive(name) {
+			f.kill(name)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // keyHolder returns the name of the instance that has acquired the leader's key, empty if there is none.
 func (f *followingFleet) keyHolder() string {
 	entry, _, err := f.store.KeyValueStore().Get(context.Background(), "hickorynotch/leader")
@@ -82,3 +89,44 @@
 
 	return f.instances[name] != nil
 }
+
+var _ = Describe("A target that drains", func() {
+	DescribeTable("is not used after the drain bound although each next leader is lost before it has read the store", func(instances int) {
+		f := newFollowingFleet(names(instances)...)
+		leader := f.settle()
+		f.expectTargets(1, "5s")
+		f.kill(leader)
+		f.registry.set(nil, target("a", func(t *directory.Target) { t.Draining = true }))
+		drainedAt := time.Now()
+		f.killLeaders(drainedAt.Add(drainBound - 200*time.Millisecond))
+		for _, i := range f.all() {
+			Eventually(func() bool {
+				t, ok := i.targets().Target("a")
+
+				return ok && t.Draining
+			}, time.Until(drainedAt.Add(drainBound)), "10ms").Should(BeTrue(), i.name)
+		}
+	},
+		Entry("8 instances", 8),
+		Entry("195 instances", 195),
+	)
+
+	It("is not used after the drain bound by an instance that loses the leader while that keeps its lease", func() {
+		f := newFollowingFleet(names(8)...)
+		leader := f.settle()
+		f.expectTargets(1, "5s")
+		var lost *followingInstance
+		for _, i := range f.all() {
+			if i.name != leader {
+				lost = i
+			}
+		}
+		lost.silenced.Store(true)
+		f.registry.set(nil, target("a", func(t *directory.Target) { t.Draining = true }))
+		Eventually(func() bool {
+			t, ok := lost.targets().Target("a")
+
+			return ok && t.Draining
+		}, drainBound, "10ms").Should(BeTrue())
+	})
+})
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -260,6 +260,27 @@
 	return f.storeReadAt.Add(time.Duration(retentionFraction * float64(f.drainBound)))
 }
 
+// targetsConfirmedAt returns when the leader last read the registry of targets, as far as this instance knows. That is now while it reads
+// the mirror of a leader in the store.
+func (f *Fleet) targetsConfirmedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mode == direct && f.upToDate && f.leader.Synced {
+		return f.timers.Now()
+	}
+
+	return f.storeReadAt
+}
+
+// maximumTargetsAge returns the time after which this instance reads the registry of targets itself if no leader has.
+func (f *Fleet) maximumTargetsAge() time.Duration {
+	if f.drainBound == 0 {
+		return unbounded
+	}
+
+	return maximumAge(f.drainBound)
+}
+
 // hasView reports whether the view was read since the start.
 func (f *Fleet) hasView() bool {
 	f.mu.Lock()
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -22,6 +22,9 @@
 // applyBound is the time within which a change of the configuration has to be in force on all instances that reach the store.
 const applyBound = 3 * time.Second
 
+// drainBound is the time within which all instances that reach the store have to stop using a target that drains.
+const drainBound = 3 * time.Second
+
 // followingFleet is a set of instances that follow their leader over function calls, on one store in memory.
 type followingFleet struct {
 	store    *memory.Store
@@ -248,7 +251,7 @@
 	}}
 	i.current = directory.New(nil)
 	store := f.keyValueStore(i)
-	i.fleet = control.NewFleet(store, i.self, f.timers, control.WithDrainBound(3*time.Second),
+	i.fleet = control.NewFleet(store, i.self, f.timers, control.WithDrainBound(drainBound),
 		control.WithFollowing(&control.Following{
 			Follow: f.follow(i), FirstStart: true, Version: func() uint64 { return i.configuration.Version() },
 			OnConfiguration: func(c *control.StoredConfiguration) { i.configuration.Offer(c) },
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -46,6 +46,8 @@
 	readConfiguration    func(ctx context.Context) error
 	configurationVersion func() uint64
 	notify               func(ctx context.Context, n Notice)
+	// registryReadAt is when this instance last read the registry of targets without leading.
+	registryReadAt time.Time
 }
 
 // LeadershipOption configures a Leadership.
@@ -99,21 +101,22 @@
 			l.targets.Seed(view.Mirror)
 		}
 		switch {
+		case l.untilOverdue() <= 0:
+			l.readOverdue(ctx)
 		case view.UpToDate && view.Leader == "":
 			l.campaign(ctx, view)
 			if l.fleet.View().Leader != "" {
 				l.awaitLeader(ctx, mirrorTimeout)
 			}
 		case view.UpToDate && view.Targets != nil:
-			l.targets.Adopt(view.Targets)
-			select {
-			case <-l.fleet.viewChanged:
-			case <-ctx.Done():
+			if !l.registryReadAt.After(l.fleet.targetsConfirmedAt()) {
+				l.targets.Adopt(view.Targets)
 			}
+			l.awaitViewChange(ctx, l.untilOverdue()+rand.N(overdueSpread))
 		default:
 			// The view is out of date, or the leader has not synchronized the mirror yet.
 			interval := l.readInterval
-			if err := l.targets.Read(ctx); err != nil {
+			if err := l.readRegistry(ctx); err != nil {
 				interval = minimumBackoff + rand.N(maximumBackoff)
 			}
 			l.awaitLeader(ctx, interval)
@@ -123,6 +126,41 @@
 	return ctx.Err()
 }
 
+// untilOverdue returns the time until a change of the registry may be overdue, because no leader has passed it on.
+func (l *Leadership) untilOverdue() time.Duration {
+	confirmedAt := l.fleet.targetsConfirmedAt()
+	for _, at := range []time.Time{l.registryReadAt, l.started} {
+		if at.After(confirmedAt) {
+			confirmedAt = at
+		}
+	}
+
+	return l.fleet.maximumTargetsAge() - l.timers.Since(confirmedAt)
+}
+
+// readOverdue reads the registry because no leader has passed it on in time.
+func (l *Leadership) readOverdue(ctx context.Context) {
+	l.log.Log(event.TargetsUnconfirmed, "Age", l.timers.Since(l.fleet.targetsConfirmedAt()))
+	if l.fleet.storeFailedRecently() {
+		l.targets.expectMissing()
+	}
+	l.targets.retainUntil(l.fleet.registryRetention())
+	if err := l.readRegistry(ctx); err != nil {
+		l.awaitViewChange(ctx, minimumBackoff+rand.N(maximumBackoff))
+	}
+}
+
+// readRegistry reads the registry of targets.
+func (l *Leadership) readRegistry(ctx context.Context) error {
+	started := l.timers.Now()
+	err := l.targets.Read(ctx)
+	if err == nil {
+		l.registryReadAt = started
+	}
+
+	return err
+}
+
 // awaitLeader waits for at most d. It returns earlier once the view shows a synchronized mirror, or that there is no leader.
 func (l *Leadership) awaitLeader(ctx context.Context, d time.Duration) {
 	until := l.timers.Now().Add(d)
@@ -155,6 +193,12 @@
 		// If all instances have just started, each knows few others, so that the ranks of many are equal.
 		delay = rand.N(maximumCampaignDelay)
 	}
+	if overdueIn := l.untilOverdue(); overdueIn < delay {
+		// The registry is read before this instance campaigns.
+		l.awaitViewChange(ctx, overdueIn)
+
+		return
+	}
 	select {
 	case <-l.timers.After(delay + rand.N(campaignDelayPerRank/2)):
 	case <-ctx.Done():
