--- /dev/null
+++ b/internal/decision/quarantine/quarantine.go
@@ -0,0 +1,359 @@
+// Package quarantine decides which queries are sent to targets with care, or not at all, because they seem to crash each target that
+// runs them.
+//
+// A target that ends has crashed one of the queries that it had, but the others are lost with it. A query is therefore a suspect only until
+// a target has answered it. A suspect is sent to one target at a time, so that it ends at most one more, and so that a crash says more about
+// it. It is blocked once it has crashed several targets, some of them alone:
+//
+//	list := quarantine.NewList()
+//	if list.Verdict(fingerprint, now).Mode == quarantine.Blocked {
+//		// refuse the query, which has not run
+//	}
+//
+// The instances of a fleet exchange their records. Each instance also keeps those of the others, so that none is lost with the leader.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
+)
+
+const (
+	// minimumCrashes is the number of crashed targets from which a query is blocked, and minimumAlone the number of those that it
+	// crashed alone. One crash alone may be that of another query that reached the same target at the same moment.
+	minimumCrashes = 3
+	minimumAlone   = 2
+	// suspicionTime is how long a query stays a suspect after its last crash.
+	suspicionTime = 2 * time.Minute
+	// firstBlockTime is how long a query is blocked at first. Each crash after a block blocks it blockFactor times as long as before,
+	// for maximumBlockTime at most.
+	firstBlockTime   = 10 * time.Minute
+	blockFactor      = 6
+	maximumBlockTime = 24 * time.Hour
+	// maxRecords is the maximum number of records.
+	maxRecords = 1024
+	// maxReports is the maximum number of records that are reported at once.
+	maxReports = 64
+)
+
+// Mode is how a query may be sent.
+type Mode int
+
+// The values of Mode.
+const (
+	// Clear means without restrictions.
+	Clear Mode = iota
+	// Careful means to one target at a time until one has answered it.
+	Careful
+	// Blocked means that the query may not be sent.
+	Blocked
+)
+
+// Verdict says how a query may be sent.
+type Verdict struct {
+	Mode Mode
+	// Left is how much longer the query is blocked.
+	Left time.Duration
+	// Crashes are the crashes of a query that is sent with care.
+	Crashes []suspect.Crash
+}
+
+// Crashed reports whether the query has crashed a process, as far as is known.
+func (v *Verdict) Crashed(process string) bool {
+	return slices.ContainsFunc(v.Crashes, func(c suspect.Crash) bool { return c.Process == process })
+}
+
+// record is a suspect.Record with what this instance needs to keep it.
+type record struct {
+	suspect.Record
+	blockedUntil time.Time
+	expires      time.Time
+	// changed and observed count the changes of all records up to the last one of this record, and up to the last one that this instance
+	// observed itself.
+	changed  uint64
+	observed uint64
+}
+
+// List holds the records of an instance. It is safe for concurrent use.
+type List struct {
+	// size is the number of records, for Empty.
+	size atomic.Int64
+
+	mu         sync.Mutex
+	records    map[suspect.Fingerprint]*record
+	sequence   uint64
+	onObserved func()
+}
+
+// NewList returns an empty List.
+func NewList() *List {
+	return &List{records: make(map[suspect.Fingerprint]*record), onObserved: func() {}}
+}
+
+// OnObserved sets the function that is called when this instance itself has changed a record. It must be set before the first use.
+func (l *List) OnObserved(observed func()) { l.onObserved = observed }
+
+// Empty reports whether there are no records.
+func (l *List) Empty() bool { return l.size.Load() == 0 }
+
+// Verdict returns how a query may be sent.
+func (l *List) Verdict(f suspect.Fingerprint, now time.Time) Verdict {
+	if l.Empty() {
+		return Verdict{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[f]
+	switch {
+	case r == nil || now.After(r.expires) || len(r.Crashes) == 0:
+		return Verdict{}
+	case now.Before(r.blockedUntil):
+		return Verdict{Mode: Blocked, Left: r.blockedUntil.Sub(now)}
+	default:
+		return Verdict{Mode: Careful, Crashes: slices.Clone(r.Crashes)}
+	}
+}
+
+// RecordCrash records that a target ended while it had a query that no target has answered yet, and returns the verdict on the query.
+func (l *List) RecordCrash(f suspect.Fingerprint, c suspect.Crash, now time.Time) Verdict {
+	l.mu.Lock()
+	r := l.records[f]
+	if r == nil || now.After(r.expires) {
+		if !l.makeRoom(now) {
+			l.mu.Unlock()
+
+			return Verdict{}
+		}
+		r = &record{Record: suspect.Record{Fingerprint: f}}
+		l.put(r)
+	}
+	changed := r.add(c)
+	if retested := r.Blocks > 0 && c.Alone && !now.Before(r.blockedUntil); retested {
+		r.Blocks = min(r.Blocks+1, suspect.MaxBlocks)
+		r.block(now, blockTime(r.Blocks))
+		changed = true
+	}
+	if changed {
+		l.observe(r, now)
+	}
+	l.mu.Unlock()
+	if changed {
+		l.onObserved()
+	}
+
+	return l.Verdict(f, now)
+}
+
+// RecordAnswer records that a target has answered a query, which clears it. It reports whether the query was a suspect.
+func (l *List) RecordAnswer(f suspect.Fingerprint, now time.Time) bool {
+	if l.Empty() {
+		return false
+	}
+	l.mu.Lock()
+	r := l.records[f]
+	if r == nil || now.After(r.expires) || len(r.Crashes) == 0 {
+		l.mu.Unlock()
+
+		return false
+	}
+	r.Epoch, r.Crashes, r.Blocks, r.blockedUntil = r.Epoch+1, nil, 0, time.Time{}
+	l.observe(r, now)
+	l.mu.Unlock()
+	l.onObserved()
+
+	return true
+}
+
+// Merge merges records of other instances.
+func (l *List) Merge(records []suspect.Record, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range records {
+		l.merge(&records[i], now)
+	}
+}
+
+// merge merges a record of another instance. l.mu must be held.
+func (l *List) merge(from *suspect.Record, now time.Time) {
+	r := l.records[from.Fingerprint]
+	if r == nil || now.After(r.expires) {
+		if len(from.Crashes) == 0 || !l.makeRoom(now) {
+			return
+		}
+		r = &record{Record: suspect.Record{Fingerprint: from.Fingerprint, Epoch: from.Epoch}}
+		l.put(r)
+	}
+	changed := false
+	if from.Epoch > r.Epoch {
+		r.Epoch, r.Crashes, r.Blocks, r.blockedUntil = from.Epoch, nil, 0, time.Time{}
+		changed = true
+	}
+	if from.Epoch < r.Epoch {
+		return
+	}
+	for _, c := range from.Crashes {
+		changed = r.add(c) || changed
+	}
+	if from.Blocks > r.Blocks {
+		r.Blocks = from.Blocks
+		r.block(now, min(from.Left, blockTime(from.Blocks)))
+		changed = true
+	}
+	if changed {
+		l.change(r, now)
+	}
+}
+
+// add adds a crash, and reports whether it says more than those in the record.
+func (r *record) add(c suspect.Crash) bool {
+	for i := range r.Crashes {
+		if r.Crashes[i].Process == c.Process {
+			upgraded := c.Alone && !r.Crashes[i].Alone
+			r.Crashes[i].Alone = r.Crashes[i].Alone || c.Alone
+
+			return upgraded
+		}
+	}
+	if len(r.Crashes) < suspect.MaxCrashes {
+		r.Crashes = append(r.Crashes, c)
+
+		return true
+	}
+	if replaced := slices.IndexFunc(r.Crashes, func(c suspect.Crash) bool { return !c.Alone }); c.Alone && replaced >= 0 {
+		r.Crashes[replaced] = c
+
+		return true
+	}
+
+	return false
+}
+
+func (r *record) block(now time.Time, d time.Duration) {
+	r.blockedUntil = now.Add(d)
+}
+
+// blockTime returns how long a query is blocked for the given time in succession.
+func blockTime(blocks int) time.Duration {
+	d := firstBlockTime
+	for ; blocks > 1 && d < maximumBlockTime; blocks-- {
+		d *= blockFactor
+	}
+
+	return min(d, maximumBlockTime)
+}
+
+// observe records a change that this instance has observed itself. l.mu must be held.
+func (l *List) observe(r *record, now time.Time) {
+	l.change(r, now)
+	r.observed = r.changed
+}
+
+// change blocks the query if the evidence suffices, and counts the change. l.mu must be held.
+func (l *List) change(r *record, now time.Time) {
+	alone := 0
+	for _, c := range r.Crashes {
+		if c.Alone {
+			alone++
+		}
+	}
+	if r.Blocks == 0 && len(r.Crashes) >= minimumCrashes && alone >= minimumAlone {
+		r.Blocks = 1
+		r.block(now, firstBlockTime)
+	}
+	r.expires = now.Add(suspicionTime)
+	if r.Blocks > 0 {
+		// After the block, the query is a suspect for as long as it was blocked.
+		r.expires = r.blockedUntil.Add(max(suspicionTime, blockTime(r.Blocks)))
+	}
+	l.sequence++
+	r.changed = l.sequence
+}
+
+// put adds a record. l.mu must be held.
+func (l *List) put(r *record) {
+	l.records[r.Fingerprint] = r
+	l.size.Store(int64(len(l.records)))
+}
+
+// makeRoom removes expired records and, at the limit, the oldest one that does not block its query. It reports whether there is room for
+// another one. l.mu must be held.
+func (l *List) makeRoom(now time.Time) bool {
+	var oldest *record
+	for f, r := range l.records {
+		switch {
+		case now.After(r.expires):
+			delete(l.records, f)
+		case r.Blocks == 0 && (oldest == nil || r.changed < oldest.changed):
+			oldest = r
+		}
+	}
+	if len(l.records) >= maxRecords && oldest != nil {
+		delete(l.records, oldest.Fingerprint)
+	}
+	l.size.Store(int64(len(l.records)))
+
+	return len(l.records) < maxRecords
+}
+
+// Observed returns the records that this instance has changed itself after a cursor, and the next cursor. With cursor 0, it returns all
+// records, whoever has changed them.
+func (l *List) Observed(after uint64, now time.Time) (records []suspect.Record, next uint64) {
+	return l.since(after, now, func(r *record) uint64 {
+		if after == 0 {
+			return r.changed
+		}
+
+		return r.observed
+	})
+}
+
+// Changed returns the records that have changed after a cursor, and the next cursor.
+func (l *List) Changed(after uint64, now time.Time) (records []suspect.Record, next uint64) {
+	return l.since(after, now, func(r *record) uint64 { return r.changed })
+}
+
+func (l *List) since(after uint64, now time.Time, sequence func(*record) uint64) (out []suspect.Record, next uint64) {
+	if l.Empty() {
+		return nil, after
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var records []*record
+	for _, r := range l.records {
+		if sequence(r) > after && !now.After(r.expires) {
+			records = append(records, r)
+		}
+	}
+	slices.SortFunc(records, func(a, b *record) int { return cmp.Compare(sequence(a), sequence(b)) })
+	next = max(after, l.sequence)
+	if len(records) > maxReports {
+		records = records[:maxReports]
+		next = sequence(records[maxReports-1])
+	}
+	for _, r := range records {
+		shared := r.Record
+		shared.Crashes = slices.Clone(r.Crashes)
+		shared.Left = max(r.blockedUntil.Sub(now), 0)
+		out = append(out, shared)
+	}
+
+	return out, next
+}
+
+// Blocked returns the number of queries that are blocked.
+func (l *List) Blocked(now time.Time) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.records {
+		if now.Before(r.blockedUntil) {
+			n++
+		}
+	}
+
+	return n
+}
--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -10,8 +10,10 @@
 	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 const (
@@ -44,6 +46,10 @@
 	Version uint64
 	// Reports returns what the instance reports during the session about the rate limits of targets.
 	Reports func() []ratelimit.Report
+	// Suspects returns what the instance reports about queries that seem to crash targets, after a cursor: at the begin of the session
+	// all records, later those that it has changed itself. It also returns the next cursor, and a channel that is closed at the next
+	// change.
+	Suspects func(after uint64) (records []suspect.Record, next uint64, changed <-chan struct{})
 }
 
 // Update is a message of the leader to an instance that follows it.
@@ -124,6 +130,11 @@
 	// limitReports are the reports of the instances about the rate limits of targets, and limits what was made of them.
 	limitReports limitReports
 	limits       map[string]ratelimit.Limit
+	// suspects are the queries that seem to crash targets. suspectCursor is that of the last record that was passed on, and
+	// suspectsRefreshedAt when all were passed on last.
+	suspects            *quarantine.List
+	suspectCursor       uint64
+	suspectsRefreshedAt time.Time
 }
 
 type feedEntry struct {
@@ -157,6 +168,7 @@
 	clear(f.presences)
 	clear(f.limitReports)
 	f.limits = nil
+	f.suspectCursor, f.suspectsRefreshedAt = 0, f.timers.Now()
 	f.deleted = 0
 	f.sequence++
 	f.resetBefore = f.sequence
@@ -180,6 +192,7 @@
 	}
 	f.broadcast()
 	f.mu.Unlock()
+	f.publishSuspects()
 	f.reportInstances()
 }
 
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
@@ -63,6 +64,7 @@
 	refreshCh   chan struct{}
 	onView      func(View)
 	feed        *Feed
+	suspects    *quarantine.List
 	// follow is nil if this instance never follows the leader.
 	follow *Following
 	// drainBound is the time within which all instances have to stop sending requests to a target that drains.
@@ -87,6 +89,9 @@
 	announcedRevision uint64
 	behindSince       time.Time
 
+	// suspectsChanged is closed when this instance has changed a record of suspects itself.
+	suspectsChanged chan struct{}
+
 	followState
 }
 
@@ -133,12 +138,15 @@
 	f := &Fleet{
 		store: store, self: self, timers: timers, onView: func(View) {},
 		viewChanged: make(chan struct{}, 1), refreshCh: make(chan struct{}, 1),
+		suspects: quarantine.NewList(), suspectsChanged: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(f)
 	}
 	f.health = storeHealth{timers: timers, log: func() *event.Log { return f.log }, component: "Fleet"}
 	f.feed = newFeed(timers, f.setInstances)
+	f.feed.suspects = f.suspects
+	f.suspects.OnObserved(f.suspectsObserved)
 	f.modeChanged = make(chan struct{})
 	f.reset()
 
@@ -364,6 +372,8 @@
 		}
 	case strings.HasPrefix(e.Key, limitPrefix):
 		f.applyLimit(e)
+	case strings.HasPrefix(e.Key, suspectPrefix):
+		f.applySuspect(e)
 	case strings.HasPrefix(e.Key, mirrorPrefix):
 		id := strings.TrimPrefix(e.Key, mirrorPrefix)
 		f.mirrorRevision = max(f.mirrorRevision, e.Revision)
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -309,7 +309,8 @@
 		<-stopped
 	}()
 	f.mu.Lock()
-	request := &FollowRequest{Instance: f.self, Register: !f.leaving, Leader: term, Version: f.follow.Version(), Reports: f.currentReports}
+	request := &FollowRequest{Instance: f.self, Register: !f.leaving, Leader: term, Version: f.follow.Version()}
+	request.Reports, request.Suspects = f.currentReports, f.suspectReports
 	f.mu.Unlock()
 	var began time.Time
 	err := f.follow.Follow(ctx, l.Peer, request, func(u *Update) error {
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/standin/memory"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
@@ -45,6 +46,7 @@
 	name          string
 	self          control.Instance
 	configuration *control.Configuration
+	suspects      *quarantine.List
 	// holdCommit, if set, is called before each commit of the instance. The commit then lands whether or not the instance still waits.
 	holdCommit atomic.Pointer[func()]
 	// loseReplies makes the commits of the instance fail although they land.
@@ -221,6 +223,9 @@
 
 		// As over the network, the first report follows some time after the begin of the session.
 		reportedAt, receivedAt := time.Now(), time.Now()
+		ctx, stop := context.WithCancel(ctx)
+		defer stop()
+		go f.reportSuspects(ctx, i, leader, r)
 
 		return leader.fleet.Feed().Serve(ctx, r, func(u *control.Update) error {
 			if i.silenced.Load() {
@@ -242,6 +247,23 @@
 	}
 }
 
+// reportSuspects passes what an instance reports about queries that seem to crash targets to the leader, until ctx is done.
+func (f *followingFleet) reportSuspects(ctx context.Context, i, leader *followingInstance, r *control.FollowRequest) {
+	for cursor := uint64(0); ctx.Err() == nil; {
+		records, next, changed := r.Suspects(cursor)
+		cursor = next
+		if len(records) > 0 && i.isolated.Load() == leader.isolated.Load() {
+			leader.fleet.Feed().ReportSuspects(records)
+
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (f *followingFleet) start(name string) {
 	f.mu.Lock()
 	address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.9"), uint16(1+len(f.byAddress)))
@@ -249,10 +271,10 @@
 	i := &followingInstance{name: name, self: control.Instance{
 		Name: name, Peer: address, AvailabilityZone: "Kochi", Processor: 1,
 	}}
-	i.current = directory.New(nil)
+	i.current, i.suspects = directory.New(nil), quarantine.NewList()
 	store := f.keyValueStore(i)
 	i.fleet = control.NewFleet(store, i.self, f.timers, control.WithDrainBound(drainBound),
-		control.WithFollowing(&control.Following{
+		control.WithSuspects(i.suspects), control.WithFollowing(&control.Following{
 			Follow: f.follow(i), FirstStart: true, Version: func() uint64 { return i.configuration.Version() },
 			OnConfiguration: func(c *control.StoredConfiguration) { i.configuration.Offer(c) },
 			OnVersion:       func(version uint64, age time.Duration) { i.configuration.Confirm(version, age) },
--- a/internal/tier/control/limits.go
+++ b/internal/tier/control/limits.go
@@ -18,6 +18,8 @@
 	// cutOffAfter is the time without an update of the leader after which an instance counts as cut off. It is shorter than
 	// reportExpiry, so that an instance uses less of a limit before the others use more.
 	cutOffAfter = 3 * time.Second
+	// contactTimeout is the time without an update of the leader up to which an instance is in contact. The leader sends one each second.
+	contactTimeout = 1500 * time.Millisecond
 	// demandDelay is the time from the begin of a term until the leader passes on the demand for targets. Before, instances may not
 	// have followed it and reported yet, and the others would share what those use.
 	demandDelay = 2500 * time.Millisecond
@@ -134,9 +136,18 @@
 	return f.mode != leading && f.timers.Since(f.updatedAt) > cutOffAfter
 }
 
+// InContact reports whether this instance exchanges reports with the others at present: it leads, or receives the updates of the leader.
+func (f *Fleet) InContact() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.follow == nil || f.mode == leading || f.timers.Since(f.updatedAt) <= contactTimeout
+}
+
 // maintainFeed drops the instances and reports that have expired while this instance leads.
 func (f *Fleet) maintainFeed() {
 	f.feed.sweep()
+	f.feed.refreshSuspects()
 	limits, changed := f.feed.updateLimits()
 	if !changed {
 		return
--- /dev/null
+++ b/internal/tier/control/suspects_test.go
@@ -0,0 +1,75 @@
+package control_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
+)
+
+// expectBlocked waits until all instances block a query.
+func (f *followingFleet) expectBlocked(query suspect.Fingerprint, timeout string) {
+	GinkgoHelper()
+	for _, i := range f.all() {
+		Eventually(func() quarantine.Mode { return i.suspects.Verdict(query, time.Now()).Mode }, timeout, "10ms").
+			Should(Equal(quarantine.Blocked), i.name)
+	}
+}
+
+var _ = Describe("A query that crashes targets", func() {
+	query := suspect.NewFingerprint([]byte("GET /a"))
+	crashAt := func(i *followingInstance, n int) {
+		i.suspects.RecordCrash(query, suspect.Crash{Process: fmt.Sprintf("p%d", n), Alone: true}, time.Now())
+	}
+
+	DescribeTable("is not tried by each instance: what several have seen is known to all", func(instances int) {
+		f := newFollowingFleet(names(instances)...)
+		f.settle()
+		all := f.all()
+		for n := range 3 {
+			crashAt(all[n], n)
+		}
+		f.expectBlocked(query, "1s")
+	},
+		Entry("8 instances", 8),
+		Entry("195 instances", 195),
+	)
+
+	It("is not forgotten when the leader is lost, nor by instances that start later", func() {
+		f := newFollowingFleet(names(6)...)
+		leader := f.settle()
+		for n := range 3 {
+			crashAt(f.instances[leader], n)
+		}
+		f.expectBlocked(query, "1s")
+		f.kill(leader)
+		f.start("late")
+		f.expectBlocked(query, "8s")
+	})
+
+	It("is known to all once a leader is followed, if it was seen while there was none", func() {
+		f := newFollowingFleet(names(6)...)
+		f.kill(f.settle())
+		time.Sleep(100 * time.Millisecond)
+		for n := range 3 {
+			crashAt(f.all()[n], n)
+		}
+		f.expectBlocked(query, "5s")
+	})
+
+	It("is not tried by an instance without contact to the others", func() {
+		f := newFollowingFleet(names(4)...)
+		leader := f.settle()
+		for _, i := range f.all() {
+			Eventually(i.fleet.InContact, "2s", "10ms").Should(BeTrue(), i.name)
+			if i.name != leader {
+				i.silenced.Store(true)
+				Eventually(i.fleet.InContact, "3s", "10ms").Should(BeFalse(), i.name)
+			}
+		}
+	})
+})
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -6,6 +6,7 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/decision/coverage"
+	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
 	"github.com/hickorynotch/hickorynotch/internal/value/set"
 )
@@ -71,6 +72,7 @@
 	// links and facts are buffers that are reused for each choice of a replica.
 	links []*target.Link
 	facts []choice.Facts
+	suspicion
 	// turnIn is the shortest time after which a subrequest that failed for a rate limit could be sent, 0 if none did.
 	turnIn time.Duration
 }
@@ -105,23 +107,16 @@
 
 // run starts the subrequests and returns when the answer is known, the deadline has passed or ctx is done.
 func (q *activeQuery) run(ctx context.Context) Answer {
-	now := q.d.timers.Now()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	if !q.forwarded && !q.subset && !q.request.MaybeSent {
-		q.groups = q.d.groups(q.request)
-	}
-	if !q.servable(now) {
-		return q.finish(NotRun, reasonLimited)
+	if refused := q.start(ctx, q.d.timers.Now()); refused {
+		return q.answer
 	}
-	q.startGroups(ctx)
-	q.startFirstAttempts(now)
 	defer q.cancelAttempts()
 
 	timeout := q.d.timers.After(q.d.timers.Until(q.request.Deadline))
 	for {
-		now = q.d.timers.Now()
-		wait, done := q.decide(now)
+		wait, done := q.decide(q.d.timers.Now())
 		if done {
 			return q.answer
 		}
@@ -146,6 +141,39 @@
 	}
 }
 
+// start starts the subrequests. It reports whether the query is refused instead, before anything was sent.
+func (q *activeQuery) start(ctx context.Context, now time.Time) (refused bool) {
+	q.verdict = q.d.Suspicion(q.request)
+	switch {
+	case q.verdict.Mode == quarantine.Blocked:
+		q.refuseQuarantined(q.verdict.Left)
+
+		return true
+	case q.verdict.Mode == quarantine.Careful:
+		q.holdAll()
+	case !q.forwarded && !q.subset && !q.request.MaybeSent:
+		q.groups = q.d.groups(q.request)
+	}
+	if !q.servable(now) {
+		q.finish(NotRun, reasonLimited)
+
+		return true
+	}
+	if !q.careful {
+		q.startGroups(ctx)
+		q.startFirstAttempts(now)
+
+		return false
+	}
+	q.startNextHeld(now)
+	if q.answer.Attempts > 0 {
+		return false
+	}
+	q.refuseQuarantined(0)
+
+	return true
+}
+
 // markFailed marks a subrequest as failed, unless it is answered or has outstanding attempts.
 func (q *activeQuery) markFailed(s *subrequest) {
 	if s.outstanding == 0 && !s.answered && !s.failed {
@@ -159,7 +187,13 @@
 	s := &q.subrequests[r.index]
 	r.attempt.ended = true
 	s.outstanding--
+	q.active--
+	now := q.d.timers.Now()
 	q.d.observeAttempt(q.request.Route.Name, &r.result)
+	q.recordEvidence(&r, now)
+	if q.careful {
+		defer q.startNextHeld(now)
+	}
 	if s.answered {
 		return
 	}
@@ -180,10 +214,22 @@
 
 		return
 	}
-	now := q.d.timers.Now()
 	if !r.result.Sent {
 		// Nothing was sent to a target, so another attempt is no additional load and is not charged to the budget.
 		s.attemptsUsed--
+	}
+	if q.careful {
+		q.hold(r.index)
+
+		return
+	}
+	q.retry(&r, now)
+}
+
+// retry sends a subrequest again whose attempt has failed, if the route and the retry budget allow it.
+func (q *activeQuery) retry(r *attemptResult, now time.Time) {
+	s := &q.subrequests[r.index]
+	if !r.result.Sent {
 		if q.request.Route.Idempotent || !s.mayHaveRun {
 			if q.startAttempt(r.index, now) {
 				q.answer.Retries++
@@ -303,6 +349,9 @@
 // timeToNextHedge returns the time until the next subrequest is due for a hedge.
 func (q *activeQuery) timeToNextHedge(now time.Time) time.Duration {
 	wait := farFuture
+	if q.careful {
+		return wait
+	}
 	for i := range q.subrequests {
 		if s := &q.subrequests[i]; !s.answered && !s.failed && s.outstanding > 0 {
 			wait = min(wait, s.hedgeAt.Sub(now))
--- a/internal/tier/dispatch/attempt.go
+++ b/internal/tier/dispatch/attempt.go
@@ -13,6 +13,8 @@
 	link   *target.Link
 	cancel target.Cancel
 	ended  bool
+	// alone is set if no other attempt of the query was under way at any time of this one.
+	alone bool
 }
 
 // attemptResult is the result of an attempt. index is the position of its subrequest.
@@ -25,17 +27,22 @@
 // startFirstAttempts sends the subrequests that no peer gathers.
 func (q *activeQuery) startFirstAttempts(now time.Time) {
 	for i := range q.subrequests {
-		if q.subrequests[i].outstanding > 0 {
-			continue
+		if q.subrequests[i].outstanding == 0 {
+			q.startFirstAttempt(i, now)
 		}
-		q.d.ledger.CountFirst(now, q.subrequests[i].service)
-		if q.request.MaybeSent && !q.allowResend(&q.subrequests[i], now) {
-			q.markFailed(&q.subrequests[i])
+	}
+}
 
-			continue
-		}
-		q.startAttempt(i, now)
+// startFirstAttempt sends subrequest i for the first time.
+func (q *activeQuery) startFirstAttempt(i int, now time.Time) {
+	s := &q.subrequests[i]
+	q.d.ledger.CountFirst(now, s.service)
+	if q.request.MaybeSent && !q.allowResend(s, now) {
+		q.markFailed(s)
+
+		return
 	}
+	q.startAttempt(i, now)
 }
 
 // startAttempt sends subrequest i to the replica with the lowest cost among those that it was not sent to yet. It reports whether
@@ -63,6 +70,14 @@
 func (q *activeQuery) sendAttempt(i int, r replica, now time.Time) {
 	s := &q.subrequests[i]
 	a := &attempt{link: r.link}
+	if q.active == 0 {
+		// Before the query is sent with care, peers may be sending other subrequests of it.
+		a.alone = q.careful || !q.subset && len(q.groups) == 0
+		q.lone = a
+	} else if q.lone != nil {
+		q.lone.alone, q.lone = false, nil
+	}
+	q.active++
 	s.attempts = append(s.attempts, a)
 	s.attemptsUsed++
 	s.outstanding++
@@ -149,12 +164,15 @@
 
 // sendDueHedges sends the subrequests that are late to another replica.
 func (q *activeQuery) sendDueHedges(now time.Time) {
+	if q.careful {
+		return
+	}
 	for i := range q.subrequests {
 		s := &q.subrequests[i]
 		if s.answered || s.failed || s.outstanding == 0 || now.Before(s.hedgeAt) {
 			continue
 		}
-		if q.startExtraAttempt(i, now) {
+		if q.mayHedge() && q.startExtraAttempt(i, now) {
 			q.answer.Hedges++
 		} else {
 			s.hedgeAt = now.Add(hedgeRetryDelay)
--- /dev/null
+++ b/internal/tier/dispatch/crash_test.go
@@ -0,0 +1,150 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+)
+
+// crashes counts the replicas that have ended, each after a delay.
+type crashes struct {
+	atomic.Int64
+	delay time.Duration
+}
+
+// replica returns a backend that ends, with all its connections, as soon as it runs a request whose path is /crash, and answers others
+// after a delay.
+func (c *crashes) replica(service, id string, delay time.Duration) *backend {
+	var server *httptest.Server
+	answer := reply("part of "+service, id)
+	b := newBackend(service, id, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/crash" {
+			time.Sleep(c.delay)
+			c.Add(1)
+			_ = server.Listener.Close()
+			server.CloseClientConnections()
+
+			return
+		}
+		time.Sleep(delay)
+		answer(w, r)
+	})
+	server = b.server
+
+	return b
+}
+
+// shards returns n shards with a number of replicas each, and the names of the shards.
+func (c *crashes) shards(n, replicas int, delay time.Duration) (backends []*backend, names []string) {
+	for i := range n {
+		name := fmt.Sprintf("s%02d", i)
+		names = append(names, name)
+		for k := range replicas {
+			backends = append(backends, c.replica(name, fmt.Sprintf("%s-%d", name, k), delay))
+		}
+	}
+
+	return backends, names
+}
+
+// crashing returns a query that crashes the replicas that run it.
+func crashing(shards ...string) *dispatch.Query {
+	q := query(gatherRoute(0.8, shards...))
+	q.Head = []byte("GET /crash HTTP/1.1\r\nHost: a\r\nRequest: r1\r\n")
+
+	return q
+}
+
+var _ = Describe("A query that crashes the replicas that run it", func() {
+	It("ends one replica of each shard at first, one at each of the next two arrivals, and none later", func() {
+		var ended crashes
+		backends, shards := ended.shards(10, 4, 0)
+		d := newDispatcher(options{allowance: 100}, backends...)
+		for _, total := range []int{10, 11, 12} {
+			Expect(d.Gather(context.Background(), crashing(shards...)).Status).To(Equal(dispatch.Unknown))
+			Expect(ended.Load()).To(BeEquivalentTo(total))
+		}
+		for range 10 {
+			answer := d.Gather(context.Background(), crashing(shards...))
+			Expect(answer.Status).To(Equal(dispatch.NotRun))
+			Expect(answer.Reason).To(Equal("Quarantined"))
+		}
+		Expect(ended.Load()).To(BeEquivalentTo(12))
+	})
+
+	It("does not end the last replica of a shard", func() {
+		var ended crashes
+		backends, shards := ended.shards(10, 2, 0)
+		d := newDispatcher(options{allowance: 100}, backends...)
+		Expect(d.Gather(context.Background(), crashing(shards...)).Status).To(Equal(dispatch.Unknown))
+		for range 10 {
+			Expect(d.Gather(context.Background(), crashing(shards...)).Status).To(Equal(dispatch.NotRun))
+		}
+		Expect(ended.Load()).To(BeEquivalentTo(10))
+		Expect(d.Gather(context.Background(), query(gatherRoute(1, shards...))).Status).To(Equal(dispatch.Answered))
+	})
+
+	It("ends no more than three replicas if it is sent to one at a time", func() {
+		var ended crashes
+		backends, shards := ended.shards(1, 8, 0)
+		d := newDispatcher(options{allowance: 100}, backends...)
+		r := gatherRoute(1, shards...)
+		r.Gather, r.Service = nil, shards[0]
+		for range 10 {
+			q := crashing()
+			q.Route = r
+			d.Forward(context.Background(), q)
+		}
+		Expect(ended.Load()).To(BeEquivalentTo(3))
+	})
+
+	It("ends one replica of each shard if all crash late enough for hedges", func() {
+		var ended crashes
+		backends, shards := ended.shards(10, 2, 0)
+		ended.delay = 250 * time.Millisecond
+		d := newDispatcher(options{allowance: 100}, backends...)
+		Expect(d.Gather(context.Background(), crashing(shards...)).Status).To(Equal(dispatch.Unknown))
+		Expect(ended.Load()).To(BeEquivalentTo(10))
+	})
+
+	It("does not take other queries with it that were lost with the same replicas", func() {
+		var ended crashes
+		backends, shards := ended.shards(10, 2, 30*time.Millisecond)
+		d := newDispatcher(options{allowance: 100}, backends...)
+		others := make(chan dispatch.Answer, 5)
+		for i := range cap(others) {
+			go func() {
+				q := query(gatherRoute(0.8, shards...))
+				q.Head = fmt.Appendf(nil, "GET /other%d HTTP/1.1\r\nHost: a\r\nRequest: r1\r\n", i)
+				others <- d.Gather(context.Background(), q)
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+		d.Gather(context.Background(), crashing(shards...))
+		for range cap(others) {
+			Expect(<-others).To(HaveField("Status", dispatch.Answered))
+		}
+		// The same queries are sent to all shards at once again.
+		for i := range cap(others) {
+			q := query(gatherRoute(0.8, shards...))
+			q.Head = fmt.Appendf(nil, "GET /other%d HTTP/1.1\r\nHost: a\r\nRequest: r1\r\n", i)
+			Expect(d.Suspicion(q)).To(BeZero())
+		}
+	})
+
+	It("is not suspected if its connection is lost while the replica lives on", func() {
+		b := newBackend("s1", "a", closeConnection)
+		d := newDispatcher(options{allowance: 10}, b)
+		q := query(gatherRoute(1, "s1"))
+		Expect(d.Gather(context.Background(), q).Status).To(Equal(dispatch.Unknown))
+		Expect(d.Suspicion(q)).To(BeZero())
+	})
+})
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -18,11 +18,13 @@
 	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
 	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/decision/hedging"
+	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/metric"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
 	"github.com/hickorynotch/hickorynotch/internal/world/route"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 // Status says how a query ended.
@@ -52,6 +54,8 @@
 	// Head is the request line and the headers that are forwarded to targets, as in target.Call.
 	Head []byte
 	Body []byte
+	// Fingerprint is the same for all queries that ask the same of the targets. If it is not set, the dispatcher computes it.
+	Fingerprint suspect.Fingerprint
 	// Deadline is the time by which the caller must have the final answer.
 	Deadline time.Time
 	// Received is the time at which this instance read the request. Elapsed is how long the caller had already been waiting by
@@ -131,6 +135,9 @@
 	metrics  *metric.Set
 	settings Settings
 	groups   func(q *Query) []Group
+	// suspects are the queries that seem to crash targets.
+	suspects          *quarantine.List
+	exchangesSuspects func() bool
 
 	mu          sync.Mutex
 	trackers    map[string]*hedging.Tracker
@@ -155,6 +162,12 @@
 	return func(d *Dispatcher) { d.groups = groups }
 }
 
+// WithSuspects sets the list of the queries that seem to crash targets. A suspect is sent only while exchanges reports that the instance
+// exchanges its records with the others, because each instance would try it otherwise.
+func WithSuspects(suspects *quarantine.List, exchanges func() bool) Option {
+	return func(d *Dispatcher) { d.suspects, d.exchangesSuspects = suspects, exchanges }
+}
+
 // New returns a Dispatcher.
 func New(pool *target.Pool, ledger *budget.Ledger, timers *timer.Service, settings Settings, options ...Option) *Dispatcher {
 	d := &Dispatcher{
@@ -165,6 +178,9 @@
 		trackers:    make(map[string]*hedging.Tracker),
 		roundRobins: make(map[string]*weightedRoundRobin),
 		groups:      func(*Query) []Group { return nil },
+		suspects:    quarantine.NewList(),
+
+		exchangesSuspects: func() bool { return true },
 	}
 	for _, option := range options {
 		option(d)
--- a/internal/tier/dispatch/dispatch_test.go
+++ b/internal/tier/dispatch/dispatch_test.go
@@ -54,6 +54,7 @@
 // backend is a test server for one replica. It counts the requests that it received and those that were cancelled.
 type backend struct {
 	target    *directory.Target
+	server    *httptest.Server
 	requests  atomic.Int64
 	cancelled atomic.Int64
 }
@@ -69,6 +70,7 @@
 		}
 	}))
 	DeferCleanup(server.Close)
+	b.server = server
 	b.target = &directory.Target{
 		ID: id, Service: service, Slots: 2, AvailabilityZone: "Kochi",
 		Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
--- a/internal/tier/dispatch/group.go
+++ b/internal/tier/dispatch/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 )
 
@@ -56,6 +57,9 @@
 		q.answer.Denied += r.answer.Denied
 	}
 	now := q.d.timers.Now()
+	if slices.ContainsFunc(r.answer.Stamps, func(stamp string) bool { return stamp != "" }) {
+		q.clear(now)
+	}
 	failed := r.err != nil || len(r.answer.Stamps) != len(r.group.Shards) || !q.addStamps(r.answer.Stamps)
 	if !failed {
 		q.peerRecords = append(q.peerRecords, r.answer.Records)
@@ -80,8 +84,7 @@
 			// A peer that answered without the expected stamps has sent the subrequests to targets as well.
 			q.resend(i, now)
 		case failed:
-			q.d.ledger.CountFirst(now, s.service)
-			q.startAttempt(i, now)
+			q.startUngrouped(i, now)
 		default:
 			// The peer has made all attempts that the route allows.
 			s.mayHaveRun = true
@@ -90,9 +93,26 @@
 	}
 }
 
+// startUngrouped sends a subrequest that a peer was asked to send and did not.
+func (q *activeQuery) startUngrouped(i int, now time.Time) {
+	if q.careful {
+		q.hold(i)
+		q.startNextHeld(now)
+
+		return
+	}
+	q.startFirstAttempt(i, now)
+}
+
 // resend sends a subrequest that a failed peer may have sent to targets, if the retry budget and the route allow it.
 func (q *activeQuery) resend(i int, now time.Time) {
 	s := &q.subrequests[i]
+	if q.careful {
+		s.mayHaveRun = true
+		q.markFailed(s)
+
+		return
+	}
 	// The peer sent the first request for the shard. The request of this instance is a retry.
 	q.d.ledger.CountFirst(now, s.service)
 	if !q.allowResend(s, now) {
--- /dev/null
+++ b/internal/tier/dispatch/suspicion.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/tier/target"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
+)
+
+const (
+	// reasonQuarantined is the reason of a query that was not sent because it has crashed targets.
+	reasonQuarantined = "Quarantined"
+	// maxQueryCrashes is the number of targets that a query that was not a suspect before can lose and still be sent to others, although
+	// none has answered it. It is 2 so that a query for one target survives the loss of that target.
+	maxQueryCrashes = 2
+	// hedgedShards is the number of shards up to which a query is hedged before a target has answered it. That more are late for reasons
+	// of their own at the same time is unlikely.
+	hedgedShards = 2
+)
+
+// suspicion is what an active query knows of whether it crashes the targets that run it.
+type suspicion struct {
+	// answered is set once a target has answered a subrequest.
+	answered bool
+	// careful is set while the query is sent to one target at a time, and held are the subrequests that wait meanwhile.
+	careful bool
+	held    []int
+	// verdict is the one with which the query began.
+	verdict quarantine.Verdict
+	// crashes counts the targets that have ended during the query. abandoned is set once that has happened to one that was sent the query
+	// with care.
+	crashes   int
+	abandoned bool
+	// active is the number of attempts that have no result yet, and lone the attempt that began while there was no other, unless another
+	// one has begun since.
+	active int
+	lone   *attempt
+}
+
+// fingerprint returns the fingerprint of the query. It is made of the request line, the Host header, which is the first one of Head, and
+// the body. The other headers differ between requests that ask the same.
+func (q *Query) fingerprint() suspect.Fingerprint {
+	if q.Fingerprint == (suspect.Fingerprint{}) {
+		line, rest, _ := bytes.Cut(q.Head, []byte("\r\n"))
+		host, _, _ := bytes.Cut(rest, []byte("\r\n"))
+		q.Fingerprint = suspect.NewFingerprint(line, host, q.Body)
+	}
+
+	return q.Fingerprint
+}
+
+// Suspicion returns how a query may be sent.
+func (d *Dispatcher) Suspicion(q *Query) quarantine.Verdict {
+	if d.suspects.Empty() {
+		return quarantine.Verdict{}
+	}
+
+	verdict := d.suspects.Verdict(q.fingerprint(), d.timers.Now())
+	if verdict.Mode == quarantine.Careful && !d.exchangesSuspects() {
+		verdict.Mode = quarantine.Blocked
+	}
+
+	return verdict
+}
+
+// refuseQuarantined ends a query that may not be sent to targets.
+func (q *activeQuery) refuseQuarantined(left time.Duration) {
+	q.recordTurn(left)
+	switch {
+	case q.subset:
+		q.mergeParts()
+		q.finish(Answered, reasonQuarantined)
+	case q.request.MaybeSent:
+		q.finish(Unknown, reasonQuarantined)
+	default:
+		q.finish(NotRun, reasonQuarantined)
+	}
+}
+
+// holdAll makes all subrequests wait.
+func (q *activeQuery) holdAll() {
+	q.careful = true
+	for i := range q.subrequests {
+		q.held = append(q.held, i)
+	}
+}
+
+// recordEvidence takes the result of an attempt as evidence for or against the query.
+func (q *activeQuery) recordEvidence(r *attemptResult, now time.Time) {
+	switch {
+	case r.result.Outcome == target.Answered:
+		q.clear(now)
+	case r.result.Crashed && !q.answered:
+		fingerprint := q.request.fingerprint()
+		crash := suspect.Crash{Process: r.attempt.link.Process(), Alone: r.attempt.alone}
+		verdict := q.d.suspects.RecordCrash(fingerprint, crash, now)
+		q.d.log.Log(event.TargetCrashed, "Target", r.attempt.link.ID(), "Request", q.request.RequestID, "Query", fingerprint,
+			"Alone", crash.Alone, "Blocked", verdict.Mode == quarantine.Blocked)
+		q.crashes++
+		q.abandoned = q.abandoned || q.careful && crash.Alone
+		q.careful = true
+	}
+}
+
+// clear records that a target has answered the query, and sends the subrequests that waited for that.
+func (q *activeQuery) clear(now time.Time) {
+	if q.answered {
+		return
+	}
+	q.answered = true
+	if !q.d.suspects.Empty() && q.d.suspects.RecordAnswer(q.request.fingerprint(), now) {
+		q.d.log.Log(event.QueryCleared, "Request", q.request.RequestID, "Query", q.request.fingerprint())
+	}
+	q.careful = false
+	held := q.held
+	q.held = nil
+	for _, i := range held {
+		q.startHeld(i, now)
+	}
+}
+
+// mayHedge reports whether a late subrequest may be sent to another replica. As long as none of several replicas has answered the query,
+// that can be due to the query.
+func (q *activeQuery) mayHedge() bool {
+	if q.answered {
+		return true
+	}
+	own := len(q.subrequests)
+	for _, g := range q.groups {
+		own -= len(g.Shards)
+	}
+
+	return own <= hedgedShards
+}
+
+// hold makes a subrequest wait whose attempt has failed.
+func (q *activeQuery) hold(i int) {
+	s := &q.subrequests[i]
+	if s.outstanding > 0 || s.answered || s.failed {
+		return
+	}
+	if s.mayHaveRun && !q.request.Route.Idempotent {
+		q.markFailed(s)
+
+		return
+	}
+	q.held = append(q.held, i)
+}
+
+// startNextHeld sends one of the subrequests that wait, once no other attempt is under way. It is chosen at random, so that queries that
+// were lost with the same targets are not sent to the same target again.
+func (q *activeQuery) startNextHeld(now time.Time) {
+	rand.Shuffle(len(q.held), func(i, k int) { q.held[i], q.held[k] = q.held[k], q.held[i] })
+	for len(q.held) > 0 && q.active == 0 {
+		i := q.held[0]
+		q.held = q.held[1:]
+		if q.abandoned || q.crashes > maxQueryCrashes || !q.sparesReplica(i) {
+			q.markFailed(&q.subrequests[i])
+
+			continue
+		}
+		q.startHeld(i, now)
+	}
+}
+
+// sparesReplica reports whether a replica of the subrequest's service is left if the query, which was a suspect before, crashes another one.
+// A service without a replica that has ended recently counts as having one left, because it may have only one.
+func (q *activeQuery) sparesReplica(i int) bool {
+	if q.verdict.Mode != quarantine.Careful {
+		return true
+	}
+	alive, ended := 0, 0
+	q.links = q.d.pool.Links(q.links[:0], q.subrequests[i].service)
+	for _, l := range q.links {
+		if l.EndedRecently() || q.verdict.Crashed(l.Process()) {
+			ended++
+		} else {
+			alive++
+		}
+	}
+
+	return alive > 1 || ended == 0
+}
+
+// startHeld sends a subrequest that waited.
+func (q *activeQuery) startHeld(i int, now time.Time) {
+	s := &q.subrequests[i]
+	switch {
+	case s.answered || s.failed:
+	case len(s.attempts) == 0:
+		q.startFirstAttempt(i, now)
+	case s.lastResult != nil && !s.lastResult.Sent:
+		// Nothing was sent to a target, so another attempt is no additional load.
+		if q.startAttempt(i, now) {
+			q.answer.Retries++
+		}
+	case q.startExtraAttempt(i, now):
+		q.answer.Retries++
+	default:
+		q.markFailed(s)
+	}
+}
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
 	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/decision/pacing"
+	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/metric"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
@@ -170,16 +171,19 @@
 	n.fleetSize.Store(&fleetSize{
 		instances: assumedInstances, limits: target.FleetFacts{Instances: assumedInstances, Listed: assumedInstances},
 	})
+	suspects := quarantine.NewList()
 	n.targetPool = target.NewPool(adapters.Targets, timers, target.WithLog(n.log), target.WithConnections(n.connectionLimit),
 		target.WithFleet(n.limitFacts))
 	n.budgets = budget.NewLedger(timers.Now(), n.extraRequestLimits)
 	n.dispatcher = dispatch.New(n.targetPool, n.budgets, timers, dispatch.Settings{
 		Place: place, ReturnPath: defaultReturnPath, Hedges: true,
 	}, dispatch.WithLog(n.log), dispatch.WithMetrics(n.metrics),
-		dispatch.WithGroups(func(q *dispatch.Query) []dispatch.Group { return n.handover.Groups(q) }))
+		dispatch.WithGroups(func(q *dispatch.Query) []dispatch.Group { return n.handover.Groups(q) }),
+		dispatch.WithSuspects(suspects, func() bool { return n.members.InContact() }))
 	n.peerClient = peer.NewClient(timers)
 	n.members = control.NewFleet(adapters.KeyValueStore, self, timers, control.WithFleetLog(n.log),
-		control.WithDrainBound(settings.DrainBound), control.OnView(n.updateView), control.WithFollowing(&control.Following{
+		control.WithDrainBound(settings.DrainBound), control.OnView(n.updateView), control.WithSuspects(suspects),
+		control.WithFollowing(&control.Following{
 			Follow:          n.peerClient.Follow,
 			FirstStart:      settings.FirstStart,
 			Version:         func() uint64 { return n.configuration.Version() },
@@ -196,16 +200,27 @@
 		handover.OnNewerConfiguration(n.configuration.RefreshIfOlder),
 		handover.OnMirrorRevision(n.members.RefreshIfOlder))
 	n.peerServer = peer.NewServer(n.prepareGather, n.dispatcher.Gather, n.members.Revision, n.handleNotice, timers, n.log,
-		peer.WithFollowers(n.members.Feed().Serve), peer.OnReports(n.members.Feed().Report))
+		peer.WithFollowers(n.members.Feed().Serve), peer.OnReports(n.members.Feed().Report),
+		peer.OnSuspects(n.members.Feed().ReportSuspects))
 	n.targets = control.NewTargets(adapters.TargetSource, timers, n.updateTargets, control.WithTargetsLog(n.log))
 	n.leadership = control.NewLeadership(n.members, n.targets, adapters.KeyValueStore, timers, targetReadInterval, n.log,
 		control.WithConfiguration(n.configuration), control.WithNotify(n.broadcastNotice))
 	n.handler = caller.NewHandler(adapters.Callers, n.configuration.Current,
-		n.wrapDispatch(caller.Dispatch{Gather: n.handover.Gather, Forward: n.dispatcher.Forward}), timers,
+		n.wrapDispatch(caller.Dispatch{Gather: n.gather, Forward: n.dispatcher.Forward}), timers,
 		caller.WithLog(n.log), caller.WithMetrics(n.metrics), caller.WithLimit(admission.Limit(settings.Processor)))
 	n.callerConnections = caller.NewConnections(n.callerLimits, timers)
 }
 
+// gather answers a query that merges the parts of several shards. One that has crashed targets stays at this instance, which sends it with
+// care or refuses it.
+func (n *Node) gather(ctx context.Context, q *dispatch.Query) dispatch.Answer {
+	if n.dispatcher.Suspicion(q).Mode != quarantine.Clear {
+		return n.dispatcher.Gather(ctx, q)
+	}
+
+	return n.handover.Gather(ctx, q)
+}
+
 // Apply updates the instance with reloaded settings. Only the limits for extra requests and the stop timeout take effect. Changes
 // to addresses or to the availability zone require a restart of the process.
 func (n *Node) Apply(settings Settings) {
--- a/internal/tier/peer/follow.go
+++ b/internal/tier/peer/follow.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -17,6 +18,7 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 const (
@@ -72,10 +74,12 @@
 	return instance.Check()
 }
 
-// FollowAck confirms that the follower receives updates, and carries what it reports about the rate limits of targets.
+// FollowAck confirms that the follower receives updates, and carries what it reports about the rate limits of targets and about queries
+// that seem to crash targets.
 type FollowAck struct {
-	_       struct{} `cbor:",toarray"`
-	Reports []limitReport
+	_        struct{} `cbor:",toarray"`
+	Reports  []limitReport
+	Suspects []suspectRecord
 }
 
 // Check implements validator.
@@ -89,6 +93,15 @@
 			return fmt.Errorf("field Reports, element %d: %w", i, err)
 		}
 	}
+	if len(a.Suspects) > maxEntries {
+		return fmt.Errorf("field Suspects: %d, at most %d", len(a.Suspects), maxEntries)
+	}
+	for i := range a.Suspects {
+		record := a.Suspects[i].toSuspect()
+		if err := record.Check(); err != nil {
+			return fmt.Errorf("field Suspects, element %d: %w", i, err)
+		}
+	}
 
 	return nil
 }
@@ -105,7 +118,41 @@
 	Demand        float64
 }
 
-func newFollowAck(reports []ratelimit.Report) *FollowAck {
+// suspectRecord carries a suspect.Record.
+type suspectRecord struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint suspect.Fingerprint
+	Epoch       int
+	Crashes     []crash
+	Blocks      int
+	Left        time.Duration
+}
+
+type crash struct {
+	_       struct{} `cbor:",toarray"`
+	Process string
+	Alone   bool
+}
+
+func newSuspectRecord(r *suspect.Record) suspectRecord {
+	carried := suspectRecord{Fingerprint: r.Fingerprint, Epoch: r.Epoch, Blocks: r.Blocks, Left: r.Left}
+	for _, c := range r.Crashes {
+		carried.Crashes = append(carried.Crashes, crash{Process: c.Process, Alone: c.Alone})
+	}
+
+	return carried
+}
+
+func (r *suspectRecord) toSuspect() suspect.Record {
+	record := suspect.Record{Fingerprint: r.Fingerprint, Epoch: r.Epoch, Blocks: r.Blocks, Left: r.Left}
+	for _, c := range r.Crashes {
+		record.Crashes = append(record.Crashes, suspect.Crash{Process: c.Process, Alone: c.Alone})
+	}
+
+	return record
+}
+
+func newFollowAck(reports []ratelimit.Report, suspects []suspect.Record) *FollowAck {
 	ack := &FollowAck{Reports: make([]limitReport, 0, len(reports))}
 	for _, r := range reports {
 		carried := limitReport{Target: r.Target, PerSecond: r.PerSecond, Lifted: r.Lifted, Age: r.Age, Demand: r.Demand}
@@ -114,6 +161,9 @@
 		}
 		ack.Reports = append(ack.Reports, carried)
 	}
+	for i := range suspects {
+		ack.Suspects = append(ack.Suspects, newSuspectRecord(&suspects[i]))
+	}
 
 	return ack
 }
@@ -285,6 +335,10 @@
 	if err := stream.MsgSend(newFollowRequest(r), encoding{}); err != nil {
 		return err
 	}
+	sender := &ackSender{stream: stream, request: r}
+	if r.Suspects != nil {
+		go sender.sendSuspects(ctx)
+	}
 	lastAck := c.timers.Now()
 	for {
 		stopWatchdog := c.timers.AfterFunc(followTimeout, cancel)
@@ -310,12 +364,47 @@
 			continue
 		}
 		lastAck = c.timers.Now()
-		if err := stream.MsgSend(newFollowAck(reports), encoding{}); err != nil {
+		if err := sender.send(reports, nil); err != nil {
 			return err
 		}
 	}
 }
 
+// ackSender sends the acknowledgements of a follower.
+type ackSender struct {
+	stream  drpc.Stream
+	request *control.FollowRequest
+	mu      sync.Mutex
+}
+
+func (s *ackSender) send(reports []ratelimit.Report, suspects []suspect.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.stream.MsgSend(newFollowAck(reports, suspects), encoding{})
+}
+
+// sendSuspects reports at once what the follower finds out about queries that seem to crash targets, until ctx is done or a message cannot
+// be sent.
+func (s *ackSender) sendSuspects(ctx context.Context) {
+	for cursor := uint64(0); ctx.Err() == nil; {
+		records, next, changed := s.request.Suspects(cursor)
+		cursor = next
+		if len(records) > 0 {
+			if err := s.send(nil, records); err != nil {
+				// The session ends.
+				return
+			}
+
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // handleFollow serves an instance that follows this one.
 func (s *Server) handleFollow(stream drpc.Stream) error {
 	var request FollowRequest
@@ -338,7 +427,16 @@
 			for i := range ack.Reports {
 				reports = append(reports, ack.Reports[i].toRateLimit())
 			}
-			s.onReports(request.Name, reports)
+			// An acknowledgement with suspects is sent in between and has no reports.
+			if len(ack.Suspects) > 0 {
+				suspects := make([]suspect.Record, 0, len(ack.Suspects))
+				for i := range ack.Suspects {
+					suspects = append(suspects, ack.Suspects[i].toSuspect())
+				}
+				s.onSuspects(suspects)
+			} else {
+				s.onReports(request.Name, reports)
+			}
 			select {
 			case acks <- struct{}{}:
 			default:
--- a/internal/tier/peer/follow_test.go
+++ b/internal/tier/peer/follow_test.go
@@ -15,6 +15,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/peer"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 // serveFollowers starts a server that serves followers with the given function.
@@ -79,6 +80,30 @@
 		Expect(updates[0].Configuration.Value).To(HaveLen(1 << 20))
 	})
 
+	It("carries what the follower reports about queries that crash targets unchanged, without waiting for an update", func() {
+		records := []suspect.Record{{
+			Fingerprint: suspect.NewFingerprint([]byte("a")), Epoch: 2, Blocks: 1, Left: time.Minute,
+			Crashes: []suspect.Crash{{Process: "i-1@7", Alone: true}, {Process: "i-2"}},
+		}}
+		received := make(chan []suspect.Record, 1)
+		address := serveFollowers(func(ctx context.Context, _ *control.FollowRequest, _ func(*control.Update) error) error {
+			<-ctx.Done()
+
+			return ctx.Err()
+		}, peer.OnSuspects(func(r []suspect.Record) { received <- r }))
+		request.Suspects = func(after uint64) ([]suspect.Record, uint64, <-chan struct{}) {
+			if after == 0 {
+				return records, 1, nil
+			}
+
+			return nil, after, nil
+		}
+		go func() {
+			_ = client.Follow(context.Background(), address, request, func(*control.Update) error { return nil })
+		}()
+		Eventually(received, "1s").Should(Receive(Equal(records)))
+	})
+
 	It("carries what the follower reports about rate limits, within the second, and the start time of the target unchanged", func() {
 		reports := []ratelimit.Report{
 			{Target: "i-1", Started: time.UnixMilli(1700000000123), PerSecond: 21.7, Age: time.Second, Demand: 3.5},
--- a/internal/tier/peer/fuzz_test.go
+++ b/internal/tier/peer/fuzz_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 // FuzzMessageIsRejectedOrValid feeds the decoders of all messages with whatever a peer may send.
@@ -15,6 +17,7 @@
 		&GatherAnswer{Status: "Answered", Stamps: []string{"s"}, Records: make([]byte, 16)},
 		&NoticeRequest{Leader: 7, Name: "a"},
 		&FollowRequest{Name: "a", AvailabilityZone: "z", Processor: 1},
+		newFollowAck(nil, []suspect.Record{{Fingerprint: suspect.Fingerprint{1}, Crashes: []suspect.Crash{{Process: "p"}}}}),
 		&FollowUpdate{Term: 7, Changes: []byte{1, 2, 3}},
 	} {
 		data, err := cbor.Marshal(message)
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -14,6 +14,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 // The reasons for which a query is declined. They are the values of GatherAccepted.Declined.
@@ -38,6 +39,7 @@
 	onNotice       func(control.Notice)
 	serveFollower  ServeFollower
 	onReports      func(instance string, reports []ratelimit.Report)
+	onSuspects     func([]suspect.Record)
 	timers         *timer.Service
 	log            *event.Log
 	active         atomic.Int64
@@ -59,6 +61,11 @@
 	return func(s *Server) { s.onReports = onReports }
 }
 
+// OnSuspects sets the function that receives what the instances that follow this one report about queries that seem to crash targets.
+func OnSuspects(onSuspects func([]suspect.Record)) ServerOption {
+	return func(s *Server) { s.onSuspects = onSuspects }
+}
+
 // NewServer returns a Server that answers a request with the result of gather for the query that prepare returns. The function
 // mirrorRevision returns the newest known revision of the leader's mirror of the registry of targets, and onNotice is called with
 // each notice of the leader.
@@ -71,7 +78,8 @@
 		serveFollower: func(context.Context, *control.FollowRequest, func(*control.Update) error) error {
 			return control.ErrNotLeader
 		},
-		onReports: func(string, []ratelimit.Report) {},
+		onReports:  func(string, []ratelimit.Report) {},
+		onSuspects: func([]suspect.Record) {},
 	}
 	for _, option := range options {
 		option(s)
--- a/internal/tier/target/conn.go
+++ b/internal/tier/target/conn.go
@@ -233,20 +233,27 @@
 		err = errCancelled
 	}
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			l.recordEnded()
+		}
 		l.discard(nil)
 
 		return nil, Error.Wrap(err)
 	}
 
+	return newConn(netConn, l.pool.timers.Now()), nil
+}
+
+func newConn(netConn net.Conn, now time.Time) *conn {
 	allowance := &io.LimitedReader{R: netConn}
 
 	return &conn{
 		Conn:        netConn,
 		allowance:   allowance,
 		reader:      bufio.NewReaderSize(allowance, readBufferSize),
-		lastUsed:    l.pool.timers.Now(),
+		lastUsed:    now,
 		idleTimeout: defaultIdleTimeout,
-	}, nil
+	}
 }
 
 // closerFunc adapts a function to io.Closer.
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -76,6 +76,8 @@
 	Cancelled bool
 	// Sent is set if any byte of the request may have been written to a connection.
 	Sent bool
+	// Crashed is set if the target's process ended before it answered the request.
+	Crashed bool
 	// ConnectionWait is the time it took to obtain a connection; Duration is the duration of the whole attempt.
 	ConnectionWait time.Duration
 	Duration       time.Duration
@@ -126,6 +128,7 @@
 			l.closeIdleSince(sentAt)
 		}
 		l.discard(c)
+		result.Crashed = result.Outcome == Unknown && connectionLost(result.Err) && !cancel.Cancelled() && l.hasEnded(call.Deadline)
 	} else {
 		c.lastUsed = l.pool.timers.Now()
 		l.release(c)
--- a/internal/tier/target/link.go
+++ b/internal/tier/target/link.go
@@ -42,8 +42,9 @@
 	failureRateAt  time.Time
 	lastResponseAt time.Time // when the last response with an HTTP status was received
 	rateLimit      rateLimit
-	closed         bool // the target was removed from the directory, or the pool was closed
-	addressReused  bool // another process answers at the target's address
+	endedAt        time.Time // when a connection was last refused, because no process listens
+	closed         bool      // the target was removed from the directory, or the pool was closed
+	addressReused  bool      // another process answers at the target's address
 }
 
 func newLink(p *Pool, t *directory.Target) *Link {
@@ -195,7 +196,7 @@
 		l.load, l.loadAt = *result.Reply.Load, now
 	}
 	if result.Status != 0 {
-		l.lastResponseAt = now
+		l.lastResponseAt, l.endedAt = now, time.Time{}
 	}
 	if result.Outcome == Answered && failed == 0 {
 		l.recordLatency(call.Route, now.Sub(started))
