control: store the records of queries that are blocked

The leader writes the records of blocked queries under its fence, reads them when its term begins and again after the store came back from an older copy. One more list for each term; no calls while there are none.

Test: 'is not forgotten when all instances are restarted at once'. hickorynotch_quarantine_queries shows how many are blocked.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -317,6 +317,22 @@
 	return l.since(after, now, func(r *record) uint64 { return r.changed })
 }
 
+// BlockedRecords returns the records of the queries that are blocked.
+func (l *List) BlockedRecords(now time.Time) (records []suspect.Record) {
+	if l.Empty() {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.records {
+		if now.Before(r.blockedUntil) {
+			records = append(records, r.share(now))
+		}
+	}
+
+	return records
+}
+
 func (l *List) since(after uint64, now time.Time, sequence func(*record) uint64) (out []suspect.Record, next uint64) {
 	if l.Empty() {
 		return nil, after
@@ -336,24 +352,17 @@
 		next = sequence(records[maxReports-1])
 	}
 	for _, r := range records {
-		shared := r.Record
-		shared.Crashes = slices.Clone(r.Crashes)
-		shared.Left = max(r.blockedUntil.Sub(now), 0)
-		out = append(out, shared)
+		out = append(out, r.share(now))
 	}
 
 	return out, next
 }
 
-// Blocked returns the number of queries that are blocked.
-func (l *List) Blocked(now time.Time) (n int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, r := range l.records {
-		if now.Before(r.blockedUntil) {
-			n++
-		}
-	}
+// share returns the record for other instances.
+func (r *record) share(now time.Time) suspect.Record {
+	shared := r.Record
+	shared.Crashes = slices.Clone(r.Crashes)
+	shared.Left = max(r.blockedUntil.Sub(now), 0)
 
-	return n
+	return shared
 }
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -266,6 +266,9 @@
 		if err := t.updateMirror(ctx); err != nil {
 			return err
 		}
+		if err := t.syncSuspects(ctx); err != nil {
+			return err
+		}
 	}
 }
 
--- a/internal/tier/control/suspects.go
+++ b/internal/tier/control/suspects.go
@@ -1,16 +1,21 @@
 package control
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"maps"
 	"strings"
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
+	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 const (
-	// suspectPrefix is the prefix of the keys under which the leader passes on the queries that seem to crash targets. They are not stored.
+	// suspectPrefix is the prefix of the keys under which the leader passes on the queries that seem to crash targets. Those of queries that
+	// are blocked are also stored, because all instances may be restarted at once.
 	suspectPrefix = ownPrefix + "suspects/"
 	// suspectRefreshInterval is the interval at which the leader passes on all records again, because an instance that follows it later
 	// receives them with the time left of when they were passed on.
@@ -96,3 +101,88 @@
 		f.publishSuspects()
 	}
 }
+
+// storedSuspect is what distinguishes a stored record from a newer one of the same query.
+type storedSuspect struct{ epoch, crashes, blocks int }
+
+func newStoredSuspect(r *suspect.Record) storedSuspect {
+	return storedSuspect{epoch: r.Epoch, crashes: len(r.Crashes), blocks: r.Blocks}
+}
+
+// loadSuspects reads the stored records and merges them.
+func (t *term) loadSuspects(ctx context.Context) error {
+	entries, _, err := t.store.List(ctx, suspectPrefix)
+	if err != nil {
+		return err
+	}
+	t.storedSuspects = make(map[suspect.Fingerprint]storedSuspect, len(entries))
+	for i := range entries {
+		if record, ok := decodeEntry[suspect.Record](t.log, &entries[i]); ok {
+			t.fleet.suspects.Merge([]suspect.Record{record}, t.timers.Now())
+			t.storedSuspects[record.Fingerprint] = newStoredSuspect(&record)
+		}
+	}
+
+	return nil
+}
+
+// syncSuspects writes the records of blocked queries that have changed, and deletes those of queries that are not blocked any more. A failure
+// other than the loss of the leadership is retried at the next tick.
+func (t *term) syncSuspects(ctx context.Context) error {
+	if t.fleet.suspects.Empty() && len(t.storedSuspects) == 0 {
+		return nil
+	}
+	err := t.callWithTimeout(ctx, func(ctx context.Context) error {
+		if t.storedSuspects == nil {
+			// They were written before the store came back from an older copy, or the outcome of the last write is not known.
+			if err := t.loadSuspects(ctx); err != nil {
+				return err
+			}
+		}
+		changes, next := t.suspectChanges()
+		if len(changes.Puts)+len(changes.Deletes) == 0 {
+			return nil
+		}
+		t.storedSuspects = nil
+		if _, err := t.store.Commit(ctx, changes); err != nil {
+			return err
+		}
+		t.storedSuspects = next
+
+		return nil
+	})
+	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) || ctx.Err() != nil {
+		return err
+	}
+	t.log.Log(event.StoreUnavailable, "Part", "Suspects", "Error", err)
+
+	return nil
+}
+
+// suspectChanges returns a transaction that brings the stored records up to date, or as much of it as one transaction can hold, and what is
+// stored after it.
+func (t *term) suspectChanges() (changes Transaction, next map[suspect.Fingerprint]storedSuspect) {
+	changes.Expect = map[string]uint64{leaderKey: t.revision}
+	next = maps.Clone(t.storedSuspects)
+	full := func() bool { return len(changes.Puts)+len(changes.Deletes)+1 >= MaxChanges }
+	blocked := make(map[suspect.Fingerprint]bool)
+	for _, record := range t.fleet.suspects.BlockedRecords(t.timers.Now()) {
+		blocked[record.Fingerprint] = true
+		stored := newStoredSuspect(&record)
+		if old, ok := next[record.Fingerprint]; ok && old == stored || full() {
+			continue
+		}
+		// The fields of a Record can always be encoded.
+		value, _ := json.Marshal(&record)
+		changes.Puts = append(changes.Puts, Put{Key: suspectPrefix + record.Fingerprint.String(), Value: value})
+		next[record.Fingerprint] = stored
+	}
+	for fingerprint := range t.storedSuspects {
+		if !blocked[fingerprint] && !full() {
+			changes.Deletes = append(changes.Deletes, suspectPrefix+fingerprint.String())
+			delete(next, fingerprint)
+		}
+	}
+
+	return changes, next
+}
--- a/internal/tier/control/suspects_test.go
+++ b/internal/tier/control/suspects_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -20,6 +21,17 @@
 	}
 }
 
+// expectStored waits until the store has the record of a query.
+func (f *followingFleet) expectStored(query suspect.Fingerprint) {
+	GinkgoHelper()
+	Eventually(func() int {
+		entries, _, err := f.store.KeyValueStore().List(context.Background(), "hickorynotch/suspects/"+query.String())
+		Expect(err).NotTo(HaveOccurred())
+
+		return len(entries)
+	}, "3s", "20ms").Should(Equal(1))
+}
+
 var _ = Describe("A query that crashes targets", func() {
 	query := suspect.NewFingerprint([]byte("GET /a"))
 	crashAt := func(i *followingInstance, n int) {
@@ -51,6 +63,24 @@
 		f.expectBlocked(query, "8s")
 	})
 
+	It("is not forgotten when all instances are restarted at once, and the store has come back from an older copy before", func() {
+		f := newFollowingFleet(names(5)...)
+		leader := f.settle()
+		empty := f.store.Copy()
+		for n := range 3 {
+			crashAt(f.instances[leader], n)
+		}
+		f.expectBlocked(query, "1s")
+		f.expectStored(query)
+		f.store.Restore(empty)
+		f.expectStored(query)
+		for _, i := range f.all() {
+			f.kill(i.name)
+		}
+		f.start("new")
+		f.expectBlocked(query, "5s")
+	})
+
 	It("is known to all once a leader is followed, if it was seen while there was none", func() {
 		f := newFollowingFleet(names(6)...)
 		f.kill(f.settle())
--- a/internal/tier/control/term.go
+++ b/internal/tier/control/term.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 // term is one term of leadership. The revision of the leader's key is the fencing token of all writes to the mirror: they fail once
@@ -26,6 +27,8 @@
 	tick           int
 	// storedMirror is the content of the stored mirror by target ID, as last read or written in this term, nil if it is not known.
 	storedMirror map[string]mirrored
+	// storedSuspects are the stored records of blocked queries, nil if they are not known.
+	storedSuspects map[suspect.Fingerprint]storedSuspect
 }
 
 // sendNotice sends a notice if its content has changed or if the last one is noticeIntervalTicks old.
@@ -59,6 +62,9 @@
 		if err != nil {
 			return err
 		}
+		if err = t.loadSuspects(ctx); err != nil {
+			return err
+		}
 		t.targets.Seed(directory.New(known))
 		if t.fleet.storeFailedRecently() {
 			t.targets.expectMissing()
@@ -86,7 +92,7 @@
 		return nil
 	}
 	t.log.Log(event.StoreRestored, "Part", "Leader", "Generation", generation, "Before", t.generation)
-	t.storedMirror = nil
+	t.storedMirror, t.storedSuspects = nil, nil
 	err := t.callWithTimeout(ctx, func(ctx context.Context) error {
 		entry, _, err := t.store.Get(ctx, leaderKey)
 		if err != nil {
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -86,6 +86,7 @@
 	leadership        *control.Leadership
 	targetPool        *target.Pool
 	budgets           *budget.Ledger
+	suspects          *quarantine.List
 	dispatcher        *dispatch.Dispatcher
 	handler           *caller.Handler
 	callerConnections *caller.Connections
@@ -134,7 +135,7 @@
 	defer func() { err = Error.Wrap(err) }()
 
 	n = &Node{
-		settings: settings, timers: timers, stopStarted: make(chan struct{}),
+		settings: settings, timers: timers, stopStarted: make(chan struct{}), suspects: quarantine.NewList(),
 		wrapDispatch: func(d caller.Dispatch) caller.Dispatch { return d },
 	}
 	n.stopCallers = n.stop
@@ -149,6 +150,11 @@
 	err = n.metrics.Observe("hickorynotch.configuration.age",
 		"Time in seconds since the configuration in force was last known to be the stored one.",
 		func() float64 { return n.configuration.Age().Seconds() })
+	if err != nil {
+		return nil, err
+	}
+	err = n.metrics.Observe("hickorynotch.quarantine.queries", "Number of queries that are refused because they have crashed targets.",
+		func() float64 { return float64(len(n.suspects.BlockedRecords(n.timers.Now()))) })
 
 	return n, err
 }
@@ -171,7 +177,6 @@
 	n.fleetSize.Store(&fleetSize{
 		instances: assumedInstances, limits: target.FleetFacts{Instances: assumedInstances, Listed: assumedInstances},
 	})
-	suspects := quarantine.NewList()
 	n.targetPool = target.NewPool(adapters.Targets, timers, target.WithLog(n.log), target.WithConnections(n.connectionLimit),
 		target.WithFleet(n.limitFacts))
 	n.budgets = budget.NewLedger(timers.Now(), n.extraRequestLimits)
@@ -179,10 +184,10 @@
 		Place: place, ReturnPath: defaultReturnPath, Hedges: true,
 	}, dispatch.WithLog(n.log), dispatch.WithMetrics(n.metrics),
 		dispatch.WithGroups(func(q *dispatch.Query) []dispatch.Group { return n.handover.Groups(q) }),
-		dispatch.WithSuspects(suspects, func() bool { return n.members.InContact() }))
+		dispatch.WithSuspects(n.suspects, func() bool { return n.members.InContact() }))
 	n.peerClient = peer.NewClient(timers)
 	n.members = control.NewFleet(adapters.KeyValueStore, self, timers, control.WithFleetLog(n.log),
-		control.WithDrainBound(settings.DrainBound), control.OnView(n.updateView), control.WithSuspects(suspects),
+		control.WithDrainBound(settings.DrainBound), control.OnView(n.updateView), control.WithSuspects(n.suspects),
 		control.WithFollowing(&control.Following{
 			Follow:          n.peerClient.Follow,
 			FirstStart:      settings.FirstStart,
