platform: reject start and warm-up times of targets that cannot be encoded

A start time after the year 9999 is accepted, but cannot be encoded: the leader then passes on no change of the registry any more, and no instance can begin to lead. A warm-up time of 1e300 ms overflows, differently on each kind of processor.

--- a/internal/tier/control/term.go
+++ b/internal/tier/control/term.go
@@ -250,7 +250,11 @@
 		}
 		value, err := json.Marshal(m)
 		if err != nil {
-			return err
+			// One odd target must not keep the leader from passing on the others.
+			t.log.Log(event.TargetRejected, "Entries", 1, "Target", target.ID, "Error", err)
+			delete(next, target.ID)
+
+			continue
 		}
 		changes.Puts = append(changes.Puts, Put{Key: mirrorPrefix + target.ID, Value: value})
 		if err := flushIfFull(); err != nil {
