--- a/internal/tier/target/target_test.go
+++ b/internal/tier/target/target_test.go
@@ -55,6 +55,8 @@
 // fakeTarget is a target that responds to each request with raw bytes, and counts requests and connections.
 type fakeTarget struct {
 	address netip.AddrPort
+	// closeAfter makes the target close each connection after a response.
+	closeAfter bool
 
 	mu       sync.Mutex
 	requests []string
@@ -113,7 +115,7 @@
 
 			return
 		}
-		if _, err := c.Write([]byte(text)); err != nil {
+		if _, err := c.Write([]byte(text)); err != nil || t.closeAfter {
 			return
 		}
 	}
