caller: refuse requests that arrive when the process is about to exit as not run

Here they get an answer: from nine tenths of the stop timeout on, requests in flight are answered 504. Those that arrived later got 504 as well, though they could be refused at once: 503, as not run, with a time to retry at another instance, and nothing is sent to a target.

The test that expected 504 for such a request now expects 503 and that it is not passed on, which is stricter; it failed before (504).

--- a/internal/tier/caller/handler.go
+++ b/internal/tier/caller/handler.go
@@ -121,8 +121,8 @@
 // instance.
 func (h *Handler) CloseConnections() { h.closing.Store(true) }
 
-// EndRequests makes the handler answer the requests that are in flight, and those that arrive later, with 504. It is called when the
-// process is about to exit, because a connection that is closed without an answer tells its caller less.
+// EndRequests makes the handler answer the requests that are in flight with 504, and refuse those that arrive later with 503. It is called
+// when the process is about to exit, because a connection that is closed without an answer tells its caller less.
 func (h *Handler) EndRequests() { h.endRequests() }
 
 // InFlight returns the number of requests that are being served.
@@ -143,9 +143,15 @@
 		return
 	}
 	table := h.current()
-	if table == nil {
+	switch {
+	case table == nil:
 		h.refuse(w, request, "", noConfigurationRetry, "NoConfiguration")
 
+		return
+	case h.ending.Err() != nil:
+		// Another instance can serve it.
+		h.refuse(w, request, "", admission.Retry(admission.Refusal{TimeLeft: request.TimeLeft}, rand.Float64()), "Stopping")
+
 		return
 	}
 	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(r) > limit {
