target: take a response that says that the target leaves as its word

A target that leaves says so in all its responses (Server-Leaving: 1). No code read that, so an instance that is cut off from the store and the leader went on sending to it until its entry changed.

Such a target gets no new requests, hedges, retries or shards for peers, whatever its entry says, now or later; a process that starts later under its ID does. Instances report it to the leader at once, which lists it as draining in the mirror, so that all instances and the next leader know it.

--- a/internal/tier/control/departed.go
+++ b/internal/tier/control/departed.go
@@ -56,14 +56,16 @@
 	}
 }
 
-// reconcile returns the listed targets that can be used. A target that drains does not become ready again, whatever an older entry says.
-func (d departures) reconcile(listed []*directory.Target, current *directory.Directory) []*directory.Target {
+// reconcile returns the listed targets that can be used. A target that drains does not become ready again, whatever an older entry says, and
+// one that leaves by its own word drains.
+func (d departures) reconcile(listed []*directory.Target, current *directory.Directory, leaving leavers) []*directory.Target {
 	admitted := make([]*directory.Target, 0, len(listed))
 	for _, t := range listed {
 		if !d.admits(t) {
 			continue
 		}
-		if known, ok := current.Target(t.ID); ok && known.Draining && !t.Draining && known.Started.Equal(t.Started) {
+		known, ok := current.Target(t.ID)
+		if !t.Draining && (leaving.has(t) || ok && known.Draining && known.Started.Equal(t.Started)) {
 			draining := *t
 			draining.Draining = true
 			t = &draining
--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -12,6 +12,7 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
 	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
@@ -50,6 +51,8 @@
 	// all records, later those that it has changed itself. It also returns the next cursor, and a channel that is closed at the next
 	// change.
 	Suspects func(after uint64) (records []suspect.Record, next uint64, changed <-chan struct{})
+	// Leaving returns the targets that the instance reports as leaving, and a channel that is closed when there are new ones.
+	Leaving func() (targets []*directory.Target, changed <-chan struct{})
 }
 
 // Update is a message of the leader to an instance that follows it.
@@ -135,6 +138,8 @@
 	suspects            *quarantine.List
 	suspectCursor       uint64
 	suspectsRefreshedAt time.Time
+	// reportedLeaving are the targets that were reported as leaving since the leader last read the registry.
+	reportedLeaving leavers
 }
 
 type feedEntry struct {
@@ -155,6 +160,7 @@
 		timers: timers, onInstances: onInstances, entries: make(map[string]feedEntry), presences: make(map[string]*presence),
 		configurationAge: func() time.Duration { return 0 },
 		changed:          make(chan struct{}), recent: make(map[uint64]*Changes), limitReports: make(limitReports),
+		reportedLeaving: make(leavers),
 	}
 }
 
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -147,7 +147,7 @@
 	f.feed = newFeed(timers, f.setInstances)
 	f.feed.suspects = f.suspects
 	f.suspects.OnObserved(f.suspectsObserved)
-	f.modeChanged = make(chan struct{})
+	f.modeChanged, f.reportsChanged = make(chan struct{}), make(chan struct{})
 	f.reset()
 
 	return f
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
 )
 
@@ -104,6 +105,9 @@
 	// updatedAt is when the last update of a leader arrived. limitReports is what this instance reports to the leader.
 	updatedAt    time.Time
 	limitReports []ratelimit.Report
+	// leavingReports are the targets that this instance reports as leaving. reportsChanged is closed when there are new ones.
+	leavingReports []*directory.Target
+	reportsChanged chan struct{}
 }
 
 // UsesStore reports whether this instance has to read the store itself and be registered there, because it does not follow a leader.
@@ -310,7 +314,7 @@
 	}()
 	f.mu.Lock()
 	request := &FollowRequest{Instance: f.self, Register: !f.leaving, Leader: term, Version: f.follow.Version()}
-	request.Reports, request.Suspects = f.currentReports, f.suspectReports
+	request.Reports, request.Suspects, request.Leaving = f.currentReports, f.suspectReports, f.currentLeaving
 	f.mu.Unlock()
 	var began time.Time
 	err := f.follow.Follow(ctx, l.Peer, request, func(u *Update) error {
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -226,6 +226,7 @@
 		ctx, stop := context.WithCancel(ctx)
 		defer stop()
 		go f.reportSuspects(ctx, i, leader, r)
+		go f.reportLeaving(ctx, i, leader, r)
 
 		return leader.fleet.Feed().Serve(ctx, r, func(u *control.Update) error {
 			if i.silenced.Load() {
@@ -264,6 +265,20 @@
 	}
 }
 
+// reportLeaving passes on which targets an instance reports as leaving to the leader, until ctx is done.
+func (f *followingFleet) reportLeaving(ctx context.Context, i, leader *followingInstance, r *control.FollowRequest) {
+	for ctx.Err() == nil {
+		targets, changed := r.Leaving()
+		if i.isolated.Load() == leader.isolated.Load() {
+			leader.fleet.Feed().ReportLeaving(targets)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (f *followingFleet) start(name string) {
 	f.mu.Lock()
 	address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.9"), uint16(1+len(f.byAddress)))
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -252,6 +252,7 @@
 				l.fleet.feed.announce()
 			}
 		}
+		l.fleet.feed.takeLeaving(l.targets.MarkLeaving)
 		if err := l.targets.Read(ctx); err != nil {
 			// Stay leader. If the store does not answer the renewals either, the lease expires and another instance can take over.
 			l.log.Log(event.StoreUnavailable, "Part", "Leader", "Error", err)
--- a/internal/tier/control/targets.go
+++ b/internal/tier/control/targets.go
@@ -40,6 +40,7 @@
 	retainEnd   time.Time // see retainUntil
 	faultCount  int
 	departures  departures
+	leaving     leavers
 	// generation is that of the store when this instance last read the registry, if it has done so.
 	generation uint64
 	hasRead    bool
@@ -58,7 +59,9 @@
 func NewTargets(
 	source TargetSource, timers *timer.Service, onAdopted func(*directory.Directory), options ...TargetsOption,
 ) *Targets {
-	t := &Targets{source: source, timers: timers, onAdopted: onAdopted, current: directory.New(nil), departures: make(departures)}
+	t := &Targets{source: source, timers: timers, onAdopted: onAdopted, current: directory.New(nil), departures: make(departures),
+		leaving: make(leavers),
+	}
 	for _, option := range options {
 		option(t)
 	}
@@ -125,7 +128,7 @@
 	}
 	t.generation, t.hasRead = listed.Generation, true
 	t.logFaults(listed.Faults)
-	targets := t.departures.reconcile(listed.Targets, t.current)
+	targets := t.departures.reconcile(listed.Targets, t.current, t.leaving)
 	if !t.recoveredAt.IsZero() && now.Sub(t.recoveredAt) < missingTargetGrace || now.Before(t.retainEnd) {
 		targets = t.retainMissing(targets)
 	}
--- a/internal/tier/node/fleet.go
+++ b/internal/tier/node/fleet.go
@@ -76,12 +76,16 @@
 		select {
 		case <-ticks.C:
 			n.members.ReportLimits(n.targetPool.LimitReports())
+			n.reportLeaving()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// reportLeaving reports to the leader which targets leave by their own word.
+func (n *Node) reportLeaving() { n.members.ReportLeaving(n.targetPool.LeavingReports()) }
+
 // limitFacts returns what the pacing of requests to targets that limit their rate depends on.
 func (n *Node) limitFacts() target.FleetFacts {
 	facts := n.fleetSize.Load().limits
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -178,7 +178,7 @@
 		instances: assumedInstances, limits: target.FleetFacts{Instances: assumedInstances, Listed: assumedInstances},
 	})
 	n.targetPool = target.NewPool(adapters.Targets, timers, target.WithLog(n.log), target.WithConnections(n.connectionLimit),
-		target.WithFleet(n.limitFacts))
+		target.WithFleet(n.limitFacts), target.OnLeaving(n.reportLeaving))
 	n.budgets = budget.NewLedger(timers.Now(), n.extraRequestLimits)
 	n.dispatcher = dispatch.New(n.targetPool, n.budgets, timers, dispatch.Settings{
 		Place: place, ReturnPath: defaultReturnPath, Hedges: true,
@@ -206,7 +206,7 @@
 		handover.OnMirrorRevision(n.members.RefreshIfOlder))
 	n.peerServer = peer.NewServer(n.prepareGather, n.dispatcher.Gather, n.members.Revision, n.handleNotice, timers, n.log,
 		peer.WithFollowers(n.members.Feed().Serve), peer.OnReports(n.members.Feed().Report),
-		peer.OnSuspects(n.members.Feed().ReportSuspects))
+		peer.OnSuspects(n.members.Feed().ReportSuspects), peer.OnLeaving(n.members.Feed().ReportLeaving))
 	n.targets = control.NewTargets(adapters.TargetSource, timers, n.updateTargets, control.WithTargetsLog(n.log))
 	n.leadership = control.NewLeadership(n.members, n.targets, adapters.KeyValueStore, timers, targetReadInterval, n.log,
 		control.WithConfiguration(n.configuration), control.WithNotify(n.broadcastNotice))
--- a/internal/tier/peer/follow.go
+++ b/internal/tier/peer/follow.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
 	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
@@ -74,12 +75,21 @@
 	return instance.Check()
 }
 
-// FollowAck confirms that the follower receives updates, and carries what it reports about the rate limits of targets and about queries
-// that seem to crash targets.
+// FollowAck confirms that the follower receives updates, and carries what it reports about the rate limits of targets, about queries that
+// seem to crash targets, and about targets that leave. One with suspects or leaving targets has no reports.
 type FollowAck struct {
 	_        struct{} `cbor:",toarray"`
 	Reports  []limitReport
 	Suspects []suspectRecord
+	Leaving  []process
+}
+
+// process identifies the process of a target.
+type process struct {
+	_      struct{} `cbor:",toarray"`
+	Target string
+	// StartedMillis is the start time of the process in Unix milliseconds, 0 if it is not known.
+	StartedMillis int64
 }
 
 // Check implements validator.
@@ -93,8 +103,8 @@
 			return fmt.Errorf("field Reports, element %d: %w", i, err)
 		}
 	}
-	if len(a.Suspects) > maxEntries {
-		return fmt.Errorf("field Suspects: %d, at most %d", len(a.Suspects), maxEntries)
+	if len(a.Suspects) > maxEntries || len(a.Leaving) > maxEntries {
+		return fmt.Errorf("fields Suspects, Leaving: %d, %d, at most %d each", len(a.Suspects), len(a.Leaving), maxEntries)
 	}
 	for i := range a.Suspects {
 		record := a.Suspects[i].toSuspect()
@@ -152,7 +162,29 @@
 	return record
 }
 
-func newFollowAck(reports []ratelimit.Report, suspects []suspect.Record) *FollowAck {
+func newSuspectAck(records []suspect.Record) *FollowAck {
+	ack := &FollowAck{}
+	for i := range records {
+		ack.Suspects = append(ack.Suspects, newSuspectRecord(&records[i]))
+	}
+
+	return ack
+}
+
+func newLeavingAck(targets []*directory.Target) *FollowAck {
+	ack := &FollowAck{}
+	for _, t := range targets {
+		leaving := process{Target: t.ID}
+		if !t.Started.IsZero() {
+			leaving.StartedMillis = t.Started.UnixMilli()
+		}
+		ack.Leaving = append(ack.Leaving, leaving)
+	}
+
+	return ack
+}
+
+func newFollowAck(reports []ratelimit.Report) *FollowAck {
 	ack := &FollowAck{Reports: make([]limitReport, 0, len(reports))}
 	for _, r := range reports {
 		carried := limitReport{Target: r.Target, PerSecond: r.PerSecond, Lifted: r.Lifted, Age: r.Age, Demand: r.Demand}
@@ -161,9 +193,6 @@
 		}
 		ack.Reports = append(ack.Reports, carried)
 	}
-	for i := range suspects {
-		ack.Suspects = append(ack.Suspects, newSuspectRecord(&suspects[i]))
-	}
 
 	return ack
 }
@@ -339,6 +368,9 @@
 	if r.Suspects != nil {
 		go sender.sendSuspects(ctx)
 	}
+	if r.Leaving != nil {
+		go sender.sendLeaving(ctx)
+	}
 	lastAck := c.timers.Now()
 	for {
 		stopWatchdog := c.timers.AfterFunc(followTimeout, cancel)
@@ -364,7 +396,7 @@
 			continue
 		}
 		lastAck = c.timers.Now()
-		if err := sender.send(reports, nil); err != nil {
+		if err := sender.send(newFollowAck(reports)); err != nil {
 			return err
 		}
 	}
@@ -377,11 +409,11 @@
 	mu      sync.Mutex
 }
 
-func (s *ackSender) send(reports []ratelimit.Report, suspects []suspect.Record) error {
+func (s *ackSender) send(ack *FollowAck) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return s.stream.MsgSend(newFollowAck(reports, suspects), encoding{})
+	return s.stream.MsgSend(ack, encoding{})
 }
 
 // sendSuspects reports at once what the follower finds out about queries that seem to crash targets, until ctx is done or a message cannot
@@ -391,7 +423,7 @@
 		records, next, changed := s.request.Suspects(cursor)
 		cursor = next
 		if len(records) > 0 {
-			if err := s.send(nil, records); err != nil {
+			if err := s.send(newSuspectAck(records)); err != nil {
 				// The session ends.
 				return
 			}
@@ -405,6 +437,23 @@
 	}
 }
 
+// sendLeaving reports at once which targets leave by their own word, until ctx is done or a message cannot be sent.
+func (s *ackSender) sendLeaving(ctx context.Context) {
+	for ctx.Err() == nil {
+		targets, changed := s.request.Leaving()
+		if len(targets) > 0 {
+			if err := s.send(newLeavingAck(targets)); err != nil {
+				// The session ends.
+				return
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // handleFollow serves an instance that follows this one.
 func (s *Server) handleFollow(stream drpc.Stream) error {
 	var request FollowRequest
@@ -423,20 +472,7 @@
 			if err := stream.MsgRecv(&ack, encoding{}); err != nil {
 				return
 			}
-			reports := make([]ratelimit.Report, 0, len(ack.Reports))
-			for i := range ack.Reports {
-				reports = append(reports, ack.Reports[i].toRateLimit())
-			}
-			// An acknowledgement with suspects is sent in between and has no reports.
-			if len(ack.Suspects) > 0 {
-				suspects := make([]suspect.Record, 0, len(ack.Suspects))
-				for i := range ack.Suspects {
-					suspects = append(suspects, ack.Suspects[i].toSuspect())
-				}
-				s.onSuspects(suspects)
-			} else {
-				s.onReports(request.Name, reports)
-			}
+			s.receiveAck(request.Name, &ack)
 			select {
 			case acks <- struct{}{}:
 			default:
@@ -459,3 +495,31 @@
 		return stream.MsgSend(message, encoding{})
 	})
 }
+
+// receiveAck passes on what an instance that follows this one reports.
+func (s *Server) receiveAck(instance string, ack *FollowAck) {
+	switch {
+	case len(ack.Suspects) > 0:
+		records := make([]suspect.Record, 0, len(ack.Suspects))
+		for i := range ack.Suspects {
+			records = append(records, ack.Suspects[i].toSuspect())
+		}
+		s.onSuspects(records)
+	case len(ack.Leaving) > 0:
+		targets := make([]*directory.Target, 0, len(ack.Leaving))
+		for _, leaving := range ack.Leaving {
+			t := &directory.Target{ID: leaving.Target}
+			if leaving.StartedMillis != 0 {
+				t.Started = time.UnixMilli(leaving.StartedMillis)
+			}
+			targets = append(targets, t)
+		}
+		s.onLeaving(targets)
+	default:
+		reports := make([]ratelimit.Report, 0, len(ack.Reports))
+		for i := range ack.Reports {
+			reports = append(reports, ack.Reports[i].toRateLimit())
+		}
+		s.onReports(instance, reports)
+	}
+}
--- a/internal/tier/peer/follow_test.go
+++ b/internal/tier/peer/follow_test.go
@@ -14,6 +14,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/peer"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
 	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
@@ -104,6 +105,21 @@
 		Eventually(received, "1s").Should(Receive(Equal(records)))
 	})
 
+	It("carries which targets leave, and the start times of their processes, without waiting for an update", func() {
+		targets := []*directory.Target{{ID: "i-1", Started: time.UnixMilli(1700000000123)}, {ID: "i-2"}}
+		received := make(chan []*directory.Target, 1)
+		address := serveFollowers(func(ctx context.Context, _ *control.FollowRequest, _ func(*control.Update) error) error {
+			<-ctx.Done()
+
+			return ctx.Err()
+		}, peer.OnLeaving(func(t []*directory.Target) { received <- t }))
+		request.Leaving = func() ([]*directory.Target, <-chan struct{}) { return targets, nil }
+		go func() {
+			_ = client.Follow(context.Background(), address, request, func(*control.Update) error { return nil })
+		}()
+		Eventually(received, "1s").Should(Receive(Equal(targets)))
+	})
+
 	It("carries what the follower reports about rate limits, within the second, and the start time of the target unchanged", func() {
 		reports := []ratelimit.Report{
 			{Target: "i-1", Started: time.UnixMilli(1700000000123), PerSecond: 21.7, Age: time.Second, Demand: 3.5},
--- a/internal/tier/peer/fuzz_test.go
+++ b/internal/tier/peer/fuzz_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
@@ -17,7 +18,8 @@
 		&GatherAnswer{Status: "Answered", Stamps: []string{"s"}, Records: make([]byte, 16)},
 		&NoticeRequest{Leader: 7, Name: "a"},
 		&FollowRequest{Name: "a", AvailabilityZone: "z", Processor: 1},
-		newFollowAck(nil, []suspect.Record{{Fingerprint: suspect.Fingerprint{1}, Crashes: []suspect.Crash{{Process: "p"}}}}),
+		newSuspectAck([]suspect.Record{{Fingerprint: suspect.Fingerprint{1}, Crashes: []suspect.Crash{{Process: "p"}}}}),
+		newLeavingAck([]*directory.Target{{ID: "i-1"}}),
 		&FollowUpdate{Term: 7, Changes: []byte{1, 2, 3}},
 	} {
 		data, err := cbor.Marshal(message)
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
 	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
@@ -40,6 +41,7 @@
 	serveFollower  ServeFollower
 	onReports      func(instance string, reports []ratelimit.Report)
 	onSuspects     func([]suspect.Record)
+	onLeaving      func([]*directory.Target)
 	timers         *timer.Service
 	log            *event.Log
 	active         atomic.Int64
@@ -66,6 +68,11 @@
 	return func(s *Server) { s.onSuspects = onSuspects }
 }
 
+// OnLeaving sets the function that receives the targets that the instances that follow this one report as leaving.
+func OnLeaving(onLeaving func([]*directory.Target)) ServerOption {
+	return func(s *Server) { s.onLeaving = onLeaving }
+}
+
 // NewServer returns a Server that answers a request with the result of gather for the query that prepare returns. The function
 // mirrorRevision returns the newest known revision of the leader's mirror of the registry of targets, and onNotice is called with
 // each notice of the leader.
@@ -80,6 +87,7 @@
 		},
 		onReports:  func(string, []ratelimit.Report) {},
 		onSuspects: func([]suspect.Record) {},
+		onLeaving:  func([]*directory.Target) {},
 	}
 	for _, option := range options {
 		option(s)
--- a/internal/tier/target/codec.go
+++ b/internal/tier/target/codec.go
@@ -26,6 +26,8 @@
 	RequestID string
 	// Load is nil if the target did not report it.
 	Load *Load
+	// Leaving is set if the target states that its process is about to end.
+	Leaving bool
 	// RateLimit is the number of requests a second that the target accepts from all instances together, nil if it names no limit.
 	RateLimit *float64
 	// RateLimitInvalid is set if the target names a limit that cannot be decoded. The limit that it named before stays in force.
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -106,6 +106,7 @@
 	result.Target, result.Duration = l.id, now.Sub(started)
 	result.Cancelled = cancel.Cancelled()
 	l.recordEnd(call, started, now, &result)
+	l.recordLeaving(&result)
 
 	return result
 }
--- a/internal/tier/target/link.go
+++ b/internal/tier/target/link.go
@@ -43,6 +43,7 @@
 	lastResponseAt time.Time // when the last response with an HTTP status was received
 	rateLimit      rateLimit
 	endedAt        time.Time // when a connection was last refused, because no process listens
+	leaving        bool      // the target's process has said that it leaves
 	closed         bool      // the target was removed from the directory, or the pool was closed
 	addressReused  bool      // another process answers at the target's address
 }
@@ -55,6 +56,7 @@
 		address:        t.Address,
 		target:         t,
 		entryChangedAt: p.timers.Now(),
+		leaving:        p.isLeaving(t),
 		latencies:      make(map[string]*choice.AverageResponseTime),
 	}
 }
@@ -94,7 +96,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	return !l.closed && !l.addressReused && !l.target.Draining
+	return !l.closed && !l.addressReused && !l.leaving && !l.target.Draining
 }
 
 // close makes the link unusable for new requests and closes its idle connections. Connections in use are closed when their requests
--- a/internal/tier/target/target.go
+++ b/internal/tier/target/target.go
@@ -62,6 +62,10 @@
 	// passedOnLimits are the rate limits that the leader passes on.
 	passedOnLimits map[string]ratelimit.Limit
 	fleet          func() FleetFacts
+	// leavingMu guards leaving, the processes that have said that they leave. onLeaving is called after a new one was added.
+	leavingMu sync.Mutex
+	leaving   map[processKey]leavingProcess
+	onLeaving func()
 	// limitedUntil is the time, as Unix nanoseconds, until which a rate limit that a target has named may be in force.
 	limitedUntil atomic.Int64
 }
@@ -90,6 +94,11 @@
 	return func(p *Pool) { p.fleet = fleet }
 }
 
+// OnLeaving sets the function that is called after a target has said for the first time that its process leaves.
+func OnLeaving(leaving func()) Option {
+	return func(p *Pool) { p.onLeaving = leaving }
+}
+
 // NewPool returns a Pool without targets.
 func NewPool(codec Codec, timers *timer.Service, options ...Option) *Pool {
 	p := &Pool{
@@ -102,6 +111,8 @@
 
 		departedLimits: make(map[string]departedLimit),
 		fleet:          func() FleetFacts { return FleetFacts{Instances: 1, Listed: 1} },
+		leaving:        make(map[processKey]leavingProcess),
+		onLeaving:      func() {},
 	}
 	for _, option := range options {
 		option(p)
--- a/internal/tier/target/target_test.go
+++ b/internal/tier/target/target_test.go
@@ -36,6 +36,7 @@
 	DecodeReply: func(header http.Header) (target.Reply, error) {
 		reply := target.Reply{
 			Stamp: header.Get("Stamp"), RequestID: header.Get("Request"), NotRun: header.Get("Not-Run") != "",
+			Leaving: header.Get("Leaving") != "",
 		}
 		if load := header.Get("Load"); load != "" {
 			reply.Fault = fmt.Errorf("Load: %q", load)
