target: send nothing to a target that has refused a request until the time that it names

A target that refuses a request with 503 may name a time (Retry-After, in seconds) for which it wants nothing from that instance.

Until then, the target gets no requests of the instance, also none that waited for a connection or a turn; the other replicas do. Then the target gets one request, and twice as many after each success.

--- a/internal/tier/dispatch/dispatch_test.go
+++ b/internal/tier/dispatch/dispatch_test.go
@@ -36,11 +36,18 @@
 	DecodeReply: func(header http.Header) (target.Reply, error) {
 		return target.Reply{
 			Stamp: header.Get("Stamp"), RequestID: header.Get("Request"), NotRun: header.Get("Not-Run") != "",
-			RateLimit: rateLimit(header),
+			RateLimit: rateLimit(header), RetryAfter: retryAfter(header),
 		}, nil
 	},
 }
 
+// retryAfter returns the time in the headers of a response, 0 if there is none.
+func retryAfter(header http.Header) time.Duration {
+	after, _ := time.ParseDuration(header.Get("After"))
+
+	return after
+}
+
 // rateLimit returns the rate limit in the headers of a response, nil if there is none.
 func rateLimit(header http.Header) *float64 {
 	perSecond, err := strconv.ParseFloat(header.Get("Limit"), 64)
--- a/internal/tier/target/codec.go
+++ b/internal/tier/target/codec.go
@@ -28,6 +28,8 @@
 	Load *Load
 	// Leaving is set if the target states that its process is about to end.
 	Leaving bool
+	// RetryAfter is the time for which the target wants no requests of this instance, if it has refused the request. 0 if it names none.
+	RetryAfter time.Duration
 	// RateLimit is the number of requests a second that the target accepts from all instances together, nil if it names no limit.
 	RateLimit *float64
 	// RateLimitInvalid is set if the target names a limit that cannot be decoded. The limit that it named before stays in force.
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -92,7 +92,7 @@
 // targetFailure reports whether the result counts as a failure of the target. A lack of free connections does not: this instance's
 // own connection limit causes it.
 func (r *Result) targetFailure() bool {
-	return !r.Success() && !errors.Is(r.Err, errNoConnection)
+	return !r.Success() && !errors.Is(r.Err, errNoConnection) && !errors.Is(r.Err, errTargetAway)
 }
 
 // Send makes one attempt to send the call to the target. It returns once the call's deadline has passed or cancel.Cancel was
@@ -118,6 +118,12 @@
 	if err != nil {
 		return Result{Outcome: NotRun, Err: err, ConnectionWait: result.ConnectionWait}
 	}
+	if l.away(sentAt) {
+		// It has refused another request while this one waited for a connection.
+		l.release(c)
+
+		return Result{Outcome: NotRun, Err: errTargetAway, ConnectionWait: result.ConnectionWait}
+	}
 	if !cancel.attach(c) {
 		l.release(c)
 
--- a/internal/tier/target/limits.go
+++ b/internal/tier/target/limits.go
@@ -30,6 +30,7 @@
 	started time.Time
 	at      time.Time
 	limit   rateLimit
+	absence absence
 }
 
 // retainRateLimit keeps the rate limit of a target that leaves the directory. p.mu must be held.
@@ -42,8 +43,8 @@
 			delete(p.departedLimits, id)
 		}
 	}
-	if l.rateLimit.current(now).named {
-		p.departedLimits[l.id] = departedLimit{started: l.target.Started, at: now, limit: l.rateLimit}
+	if l.rateLimit.current(now).named || now.Before(l.absence.until) {
+		p.departedLimits[l.id] = departedLimit{started: l.target.Started, at: now, limit: l.rateLimit, absence: l.absence}
 	}
 }
 
@@ -56,7 +57,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if ok && departed.started.Equal(l.target.Started) && now.Sub(departed.at) <= limitRetention {
-		l.rateLimit = departed.limit
+		l.rateLimit, l.absence = departed.limit, departed.absence
+		l.absence.taken = 0
 	}
 	p.applyPassedOn(l, now)
 }
@@ -106,5 +108,16 @@
 	return reports
 }
 
-// Limited reports whether a rate limit may be in force that a target has named. It costs less than asking each link.
+// extendLimited makes Limited report true until a time at least.
+func (p *Pool) extendLimited(until time.Time) {
+	for nanos := until.UnixNano(); ; {
+		known := p.limitedUntil.Load()
+		if known >= nanos || p.limitedUntil.CompareAndSwap(known, nanos) {
+			return
+		}
+	}
+}
+
+// Limited reports whether a rate limit may be in force that a target has named, or a target may want no requests. It costs less than asking
+// each link.
 func (p *Pool) Limited() bool { return p.timers.Now().UnixNano() < p.limitedUntil.Load() }
--- a/internal/tier/target/link.go
+++ b/internal/tier/target/link.go
@@ -42,6 +42,7 @@
 	failureRateAt  time.Time
 	lastResponseAt time.Time // when the last response with an HTTP status was received
 	rateLimit      rateLimit
+	absence        absence
 	endedAt        time.Time // when a connection was last refused, because no process listens
 	leaving        bool      // the target's process has said that it leaves
 	closed         bool      // the target was removed from the directory, or the pool was closed
@@ -179,6 +180,7 @@
 		l.inFlightSince = slices.Delete(l.inFlightSince, i, i+1)
 	}
 	l.recordRateLimit(result, now)
+	l.recordAbsence(result, now)
 	if result.Cancelled {
 		// The response was no longer needed: another attempt was faster, or the query ended. The time until the cancellation is a
 		// lower bound of the latency, so it is recorded only if it exceeds the average or is the first sample.
--- a/internal/tier/target/rate_limit.go
+++ b/internal/tier/target/rate_limit.go
@@ -94,7 +94,7 @@
 	limit := &l.rateLimit
 	current := limit.current(now)
 	if current.named {
-		l.pool.limitedUntil.Store(now.Add(limitRetention).UnixNano())
+		l.pool.extendLimited(now.Add(limitRetention))
 	}
 	switch {
 	case !current.named && limit.logged.named:
@@ -142,22 +142,30 @@
 }
 
 // Reserve takes this instance's next turn to send a request to the target, if that is within maxWait, and returns the time until then.
-// The turn is given back by Send if nothing is sent, and by Refund. A target that names no limit can be sent a request at any time.
+// The turn is given back by Send if nothing is sent, and by Refund. A target that names no limit can be sent a request at any time, except
+// while it wants none: no request waits for that, because all that do would be sent at once.
 func (l *Link) Reserve(now time.Time, maxWait time.Duration) (wait time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pacer, limit := l.currentPacer(now)
-	if pacer == nil {
-		return 0, true
+	if wait := l.absence.wait(now); wait > 0 {
+		return wait, false
+	}
+	wait, ok = 0, true
+	if pacer, limit := l.currentPacer(now); pacer != nil {
+		wait, ok = pacer.Reserve(now, limit, maxWait)
+	}
+	if ok {
+		l.absence.take()
 	}
 
-	return pacer.Reserve(now, limit, maxWait)
+	return wait, ok
 }
 
 // Refund gives back a turn for which Send is not called.
 func (l *Link) Refund() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.absence.giveBack()
 	if l.rateLimit.pacer != nil {
 		l.rateLimit.pacer.Refund()
 	}
@@ -167,12 +175,12 @@
 func (l *Link) TurnIn(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pacer, limit := l.currentPacer(now)
-	if pacer == nil {
-		return 0
+	wait := l.absence.wait(now)
+	if pacer, limit := l.currentPacer(now); pacer != nil {
+		wait = max(wait, pacer.Wait(now, limit))
 	}
 
-	return pacer.Wait(now, limit)
+	return wait
 }
 
 // RecordDemand counts a request for which the target is the first choice, whether or not it is this instance's turn.
--- a/internal/tier/target/target.go
+++ b/internal/tier/target/target.go
@@ -66,7 +66,8 @@
 	leavingMu sync.Mutex
 	leaving   map[processKey]leavingProcess
 	onLeaving func()
-	// limitedUntil is the time, as Unix nanoseconds, until which a rate limit that a target has named may be in force.
+	// limitedUntil is the time, as Unix nanoseconds, until which a rate limit that a target has named may be in force, or a target may want
+	// no requests.
 	limitedUntil atomic.Int64
 }
 
--- a/internal/tier/target/target_test.go
+++ b/internal/tier/target/target_test.go
@@ -38,6 +38,9 @@
 			Stamp: header.Get("Stamp"), RequestID: header.Get("Request"), NotRun: header.Get("Not-Run") != "",
 			Leaving: header.Get("Leaving") != "",
 		}
+		if after, err := time.ParseDuration(header.Get("After")); err == nil {
+			reply.RetryAfter = after
+		}
 		if load := header.Get("Load"); load != "" {
 			reply.Fault = fmt.Errorf("Load: %q", load)
 		}
