control: take an apply bound of 0 as none

Without a bound, as in tests of node, the configuration would count as overdue at once, and an instance that follows a leader would read the store without a pause. Found by reading the diff; the settings of the platform always have a bound.

--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -108,7 +108,7 @@
 	return func(c *Configuration) { c.batchDelay = delay }
 }
 
-// WithApplyBound sets the time within which a change of the stored configuration has to be in force. The default is none.
+// WithApplyBound sets the time within which a change of the stored configuration has to be in force. 0, the default, stands for none.
 func WithApplyBound(bound time.Duration) ConfigurationOption {
 	return func(c *Configuration) { c.maximumAge = maximumAge(bound) }
 }
--- a/internal/tier/control/confirmation.go
+++ b/internal/tier/control/confirmation.go
@@ -15,8 +15,14 @@
 const unbounded = 365 * 24 * time.Hour
 
 // maximumAge returns the age from which an instance no longer relies on the leader for a state whose changes have to arrive within a
-// bound.
-func maximumAge(bound time.Duration) time.Duration { return max(bound-readMargin, bound/2) }
+// bound. A bound of 0 stands for none.
+func maximumAge(bound time.Duration) time.Duration {
+	if bound == 0 {
+		return unbounded
+	}
+
+	return max(bound-readMargin, bound/2)
+}
 
 // confirmation is the latest time at which the configuration in force was known to be the one that is stored.
 type confirmation struct {
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -277,13 +277,7 @@
 }
 
 // maximumTargetsAge returns the time after which this instance reads the registry of targets itself if no leader has.
-func (f *Fleet) maximumTargetsAge() time.Duration {
-	if f.drainBound == 0 {
-		return unbounded
-	}
-
-	return maximumAge(f.drainBound)
-}
+func (f *Fleet) maximumTargetsAge() time.Duration { return maximumAge(f.drainBound) }
 
 // hasView reports whether the view was read since the start.
 func (f *Fleet) hasView() bool {
