--- a/internal/run/metric/metric.go
+++ b/internal/run/metric/metric.go
@@ -51,6 +51,7 @@
 	targetDuration  otel.Float64Histogram
 	requestWorth    otel.Float64Counter
 	boundReached    otel.Int64Counter
+	targetSignals   otel.Int64Counter
 	tierDuration    otel.Float64Histogram
 }
 
@@ -99,8 +100,12 @@
 		otel.WithUnit("s"), otel.WithExplicitBucketBoundaries(durationBuckets...)); err != nil {
 		return err
 	}
-	s.boundReached, err = s.meter.Int64Counter("hickorynotch.bound.reached",
-		otel.WithDescription("How often a queue, pool or map was at its bound, by name."))
+	if s.boundReached, err = s.meter.Int64Counter("hickorynotch.bound.reached",
+		otel.WithDescription("How often a queue, pool or map was at its bound, by name.")); err != nil {
+		return err
+	}
+	s.targetSignals, err = s.meter.Int64Counter("hickorynotch.target.signals",
+		otel.WithDescription("How often a target said that it leaves or wants no requests for some time, or ended with a request, by signal."))
 
 	return err
 }
@@ -165,6 +170,14 @@
 	s.boundReached.Add(ctx, 1, otel.WithAttributes(attribute.String("name", name)))
 }
 
+// TargetSignal counts what a target says or shows of itself, such as Leaving.
+func (s *Set) TargetSignal(ctx context.Context, signal string) {
+	if s == nil {
+		return
+	}
+	s.targetSignals.Add(ctx, 1, otel.WithAttributes(attribute.String("signal", signal)))
+}
+
 // Observe registers a gauge, such as the revision in force. Its value is obtained from read whenever metrics are collected.
 func (s *Set) Observe(name, description string, read func() float64) (err error) {
 	defer func() { err = Error.Wrap(err) }()
--- a/internal/tier/dispatch/suspicion.go
+++ b/internal/tier/dispatch/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -100,6 +101,7 @@
 		verdict := q.d.suspects.RecordCrash(fingerprint, crash, now)
 		q.d.log.Log(event.TargetCrashed, "Target", r.attempt.link.ID(), "Request", q.request.RequestID, "Query", fingerprint,
 			"Alone", crash.Alone, "Blocked", verdict.Mode == quarantine.Blocked)
+		q.d.metrics.TargetSignal(context.Background(), "Crashed")
 		q.crashes++
 		q.abandoned = q.abandoned || q.careful && crash.Alone
 		q.careful = true
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -178,7 +178,8 @@
 		instances: assumedInstances, limits: target.FleetFacts{Instances: assumedInstances, Listed: assumedInstances},
 	})
 	n.targetPool = target.NewPool(adapters.Targets, timers, target.WithLog(n.log), target.WithConnections(n.connectionLimit),
-		target.WithFleet(n.limitFacts), target.OnLeaving(n.reportLeaving))
+		target.WithFleet(n.limitFacts), target.OnLeaving(n.reportLeaving),
+		target.WithMetrics(n.metrics))
 	n.budgets = budget.NewLedger(timers.Now(), n.extraRequestLimits)
 	n.dispatcher = dispatch.New(n.targetPool, n.budgets, timers, dispatch.Settings{
 		Place: place, ReturnPath: defaultReturnPath, Hedges: true,
--- a/internal/tier/target/absence.go
+++ b/internal/tier/target/absence.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -58,6 +59,7 @@
 			return
 		}
 		if !now.Before(a.until) {
+			l.pool.metrics.TargetSignal(context.Background(), "Away")
 			l.pool.log.Log(event.TargetAway, "Target", l.id, "Service", l.service, "For", result.Reply.RetryAfter)
 		}
 		a.until, a.allowed = until, 1
--- a/internal/tier/target/leaving.go
+++ b/internal/tier/target/leaving.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"time"
@@ -64,6 +65,7 @@
 	}
 	p.leavingMu.Unlock()
 	p.log.Log(event.TargetLeaving, "Target", l.id, "Service", l.service, "Draining", target.Draining)
+	p.metrics.TargetSignal(context.Background(), "Leaving")
 	p.onLeaving()
 }
 
--- a/internal/tier/target/target.go
+++ b/internal/tier/target/target.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
+	"github.com/hickorynotch/hickorynotch/internal/run/metric"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
@@ -51,6 +52,7 @@
 	codec       Codec
 	timers      *timer.Service
 	log         *event.Log
+	metrics     *metric.Set
 	dialTimeout time.Duration
 
 	mu          sync.RWMutex
@@ -79,6 +81,11 @@
 	return func(p *Pool) { p.log = log }
 }
 
+// WithMetrics sets the metrics.
+func WithMetrics(metrics *metric.Set) Option {
+	return func(p *Pool) { p.metrics = metrics }
+}
+
 // WithDialTimeout sets the time limit for opening a connection.
 func WithDialTimeout(d time.Duration) Option {
 	return func(p *Pool) { p.dialTimeout = d }
