standin: replicas that leave by their own word, and that name a time to come back

The soak plays the second among its faults of targets; the first is not played there: a target that only says that it leaves is not known to an instance that has no response of it, so that the soak's check of drains does not apply.

--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -227,7 +227,7 @@
 func (r *soakRun) injectTargetFault() {
 	b := r.randomTarget()
 	f := randomElement(r, []replica.Fault{
-		replica.LoseAnswers, replica.Hang, replica.Shed, replica.Fail, replica.Twice, replica.Cross,
+		replica.LoseAnswers, replica.Hang, replica.Shed, replica.ShedFor, replica.Fail, replica.Twice, replica.Cross,
 	})
 	d := r.randomDuration(500, 3000)
 	r.logf("target %s %s: %s for %v", b.replica.Service, b.replica.ID, f, d)
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -29,6 +29,10 @@
 	Hang Fault = "Hang"
 	// Shed refuses requests with status 503, without running them.
 	Shed Fault = "Shed"
+	// ShedFor refuses requests like Shed, and names shedTime as the time to come back.
+	ShedFor Fault = "ShedFor"
+	// Leave says in each response that the process leaves.
+	Leave Fault = "Leave"
 	// Fail runs requests and answers with status 500.
 	Fail Fault = "Fail"
 	// Twice writes the response to every second request twice.
@@ -43,6 +47,9 @@
 	RecordBytes = 16
 )
 
+// shedTime is the time to come back that ShedFor names.
+const shedTime = 1500 * time.Millisecond
+
 // serviceTime is the time that a request takes to run.
 const serviceTime = 2 * time.Millisecond
 
@@ -141,7 +148,13 @@
 		return
 	}
 	fault, everySecond := r.fault.Load().(Fault), r.requests.Add(1)%2 == 1
-	if fault == Shed {
+	if fault == ShedFor {
+		w.Header().Set("Retry-After", strconv.FormatFloat(shedTime.Seconds(), 'f', -1, 64))
+	}
+	if fault == Leave {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if fault == Shed || fault == ShedFor {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 
