control: keep the list of instances until the lease of the lost leader has ended

Cause of known red 2, whose runs fell into two groups (about 60 calls to the store and about 165, bound 120, 60 instances): a standby that loses its leader polls for the next one for 0.75 to 2.25 s, but the lease of the lost one lasts up to 1.5 s. If the poll ended first, the standby read all keys of the store and dropped the instances that followed the lost leader, because they are not registered there. If it was then elected, it knew nobody to notify, and all others had to search: each read the leader's key, and the configuration as overdue.

Change: an instance that has lost its leader polls for longer than a lease lasts.

The red and its skip in the Makefile are removed.

The same may have delayed the next leader's word at 300 machines (known red 1); not shown yet.

--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,10 @@
 
 # The tests without those that KNOWN-RED.txt lists.
 TIER := github.com/hickorynotch/hickorynotch/internal/tier
-RED_CONTROL := does not make all instances call the store at once when the leader is lost
 RED_NODE := answers 504 to a request that no target has answered by the end of the stop
 
 test-but-red:
-	go test $$(go list ./... | grep -v -e '^$(TIER)/control$$' -e '^$(TIER)/node$$')
-	go test $(TIER)/control -ginkgo.skip '$(RED_CONTROL)'
+	go test $$(go list ./... | grep -v -e '^$(TIER)/node$$')
 	go test $(TIER)/node -ginkgo.skip '$(RED_NODE)'
 
 # Runs the whole system as separate processes on loopback and demonstrates its main functions.
--- a/internal/tier/control/search.go
+++ b/internal/tier/control/search.go
@@ -71,9 +71,15 @@
 // pollLeader long-polls the leader's key while there is no leader. If none is elected in time, the store is read instead.
 func (f *Fleet) pollLeader(ctx context.Context) (next searchStep, err error) {
 	f.mu.Lock()
-	revision := f.revision
+	revision, m := f.revision, f.mode
 	f.mu.Unlock()
-	changed, err := f.pollPrefix(ctx, leaderKey, revision, electionTimeout/2+rand.N(electionTimeout))
+	wait := electionTimeout/2 + rand.N(electionTimeout)
+	if m == following {
+		// The lease of the lost leader has to end first. Reading all keys before would drop the instances that followed that leader,
+		// and the next leader has to know them.
+		wait = leaderTTL + rand.N(electionTimeout/2)
+	}
+	changed, err := f.pollPrefix(ctx, leaderKey, revision, wait)
 	if err != nil || changed {
 		return awaitElection, err
 	}
