dispatch: let one instance of the fleet try a suspect, one query at a time

Cause: every instance could try a suspect, and several did at the same moment, because a trial took 0.2 to 0.3 s while half of the targets were away. What one learns reaches the others only when its trial has ended.

Change: the instance with the highest hash of the query and its name among those that the leader lists tries it, if it has contact to the leader, and one query at a time. The others refuse it, as not run.

Evidence: 'is sent once at a time' (8 of 8 sent before, 1 now), 'is tried by one instance of the fleet' with 8 and 195 instances.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -35,6 +35,8 @@
 	firstBlockTime   = 10 * time.Minute
 	blockFactor      = 6
 	maximumBlockTime = 24 * time.Hour
+	// maximumTrialTime is the time after which a trial that has not ended does not keep the next one from beginning.
+	maximumTrialTime = 30 * time.Second
 	// maxRecords is the maximum number of records.
 	maxRecords = 1024
 	// maxReports is the maximum number of records that are reported at once.
@@ -77,6 +79,8 @@
 	// observed itself.
 	changed  uint64
 	observed uint64
+	// trialUntil is the time until which a trial is under way, at the latest.
+	trialUntil time.Time
 }
 
 // List holds the records of an instance. It is safe for concurrent use.
@@ -119,6 +123,31 @@
 	}
 }
 
+// BeginTrial begins to send a suspect, unless this instance is sending the same already. EndTrial ends that.
+func (l *List) BeginTrial(f suspect.Fingerprint, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[f]
+	if r == nil {
+		return true
+	}
+	if now.Before(r.trialUntil) {
+		return false
+	}
+	r.trialUntil = now.Add(maximumTrialTime)
+
+	return true
+}
+
+// EndTrial ends a trial.
+func (l *List) EndTrial(f suspect.Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.records[f]; r != nil {
+		r.trialUntil = time.Time{}
+	}
+}
+
 // RecordCrash records that a target ended while it had a query that no target has answered yet, and returns the verdict on the query.
 func (l *List) RecordCrash(f suspect.Fingerprint, c suspect.Crash, now time.Time) Verdict {
 	l.mu.Lock()
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -148,12 +148,7 @@
 		return
 	}
 	fault, everySecond := r.fault.Load().(Fault), r.requests.Add(1)%2 == 1
-	if fault == ShedFor {
-		w.Header().Set("Retry-After", strconv.FormatFloat(shedTime.Seconds(), 'f', -1, 64))
-	}
-	if fault == Leave {
-		w.Header().Set("Server-Leaving", "1")
-	}
+	setSignals(w.Header(), fault)
 	if fault == Shed || fault == ShedFor {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -188,6 +183,16 @@
 	}
 }
 
+// setSignals sets the headers by which a target says something of itself.
+func setSignals(header http.Header, fault Fault) {
+	switch fault {
+	case ShedFor:
+		header.Set("Retry-After", strconv.FormatFloat(shedTime.Seconds(), 'f', -1, 64))
+	case Leave:
+		header.Set("Server-Leaving", "1")
+	}
+}
+
 // writeResponses writes the responses to several requests to the connection of one request, and closes it.
 func (r *Replica) writeResponses(w http.ResponseWriter, ids ...string) {
 	conn, buffered, err := w.(http.Hijacker).Hijack()
--- a/internal/tier/control/limits.go
+++ b/internal/tier/control/limits.go
@@ -136,12 +136,25 @@
 	return f.mode != leading && f.timers.Since(f.updatedAt) > cutOffAfter
 }
 
-// InContact reports whether this instance exchanges reports with the others at present: it leads, or receives the updates of the leader.
-func (f *Fleet) InContact() bool {
+// IsResponsible reports whether this instance is the one of the fleet that may do what only one may at a time: the one with the highest hash
+// of key and name among those that the leader lists. None is while it has no contact to the leader.
+func (f *Fleet) IsResponsible(key string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.follow == nil {
+		return true
+	}
+	if _, listed := f.instances[f.self.Name]; !listed || f.mode != leading && f.timers.Since(f.updatedAt) > contactTimeout {
+		return false
+	}
+	own := hash(key + "/" + f.self.Name)
+	for name := range f.instances {
+		if hash(key+"/"+name) > own {
+			return false
+		}
+	}
 
-	return f.follow == nil || f.mode == leading || f.timers.Since(f.updatedAt) <= contactTimeout
+	return true
 }
 
 // maintainFeed drops the instances and reports that have expired while this instance leads.
--- a/internal/tier/control/suspects_test.go
+++ b/internal/tier/control/suspects_test.go
@@ -91,15 +91,30 @@
 		f.expectBlocked(query, "5s")
 	})
 
-	It("is not tried by an instance without contact to the others", func() {
-		f := newFollowingFleet(names(4)...)
+	DescribeTable("is tried by one instance of the fleet, and by none without contact to the leader", func(instances int) {
+		f := newFollowingFleet(names(instances)...)
 		leader := f.settle()
-		for _, i := range f.all() {
-			Eventually(i.fleet.InContact, "2s", "10ms").Should(BeTrue(), i.name)
-			if i.name != leader {
-				i.silenced.Store(true)
-				Eventually(i.fleet.InContact, "3s", "10ms").Should(BeFalse(), i.name)
+		responsible := func(key string) (names []string) {
+			for _, i := range f.all() {
+				if i.fleet.IsResponsible(key) {
+					names = append(names, i.name)
+				}
 			}
+
+			return names
 		}
-	})
+		for k := range 20 {
+			Eventually(func() []string { return responsible(fmt.Sprint(k)) }, "2s", "10ms").Should(HaveLen(1))
+		}
+		for _, i := range f.all() {
+			i.silenced.Store(i.name != leader)
+		}
+		for k := range 20 {
+			Eventually(func() []string { return responsible(fmt.Sprint(k)) }, "3s", "10ms").
+				Should(Or(BeEmpty(), Equal([]string{leader})))
+		}
+	},
+		Entry("8 instances", 8),
+		Entry("195 instances", 195),
+	)
 })
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -109,6 +109,7 @@
 func (q *activeQuery) run(ctx context.Context) Answer {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	defer q.endTrial()
 	if refused := q.start(ctx, q.d.timers.Now()); refused {
 		return q.answer
 	}
@@ -145,7 +146,7 @@
 func (q *activeQuery) start(ctx context.Context, now time.Time) (refused bool) {
 	q.verdict = q.d.Suspicion(q.request)
 	switch {
-	case q.verdict.Mode == quarantine.Blocked:
+	case q.verdict.Mode == quarantine.Blocked, q.verdict.Mode == quarantine.Careful && !q.beginTrial(now):
 		q.refuseQuarantined(q.verdict.Left)
 
 		return true
--- a/internal/tier/dispatch/crash_test.go
+++ b/internal/tier/dispatch/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,21 @@
 		Expect(ended.Load()).To(BeEquivalentTo(12))
 	})
 
+	It("is sent once at a time, however often it arrives at once", func() {
+		var ended crashes
+		backends, shards := ended.shards(10, 6, 0)
+		ended.delay = 50 * time.Millisecond
+		d := newDispatcher(options{allowance: 100}, backends...)
+		d.Gather(context.Background(), crashing(shards...))
+		first := ended.Load()
+		var queries sync.WaitGroup
+		for range 8 {
+			queries.Go(func() { d.Gather(context.Background(), crashing(shards...)) })
+		}
+		queries.Wait()
+		Expect(ended.Load() - first).To(BeEquivalentTo(1))
+	})
+
 	It("does not end the last replica of a shard", func() {
 		var ended crashes
 		backends, shards := ended.shards(10, 2, 0)
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -136,8 +136,8 @@
 	settings Settings
 	groups   func(q *Query) []Group
 	// suspects are the queries that seem to crash targets.
-	suspects          *quarantine.List
-	exchangesSuspects func() bool
+	suspects *quarantine.List
+	mayTry   func(suspect.Fingerprint) bool
 
 	mu          sync.Mutex
 	trackers    map[string]*hedging.Tracker
@@ -162,10 +162,10 @@
 	return func(d *Dispatcher) { d.groups = groups }
 }
 
-// WithSuspects sets the list of the queries that seem to crash targets. A suspect is sent only while exchanges reports that the instance
-// exchanges its records with the others, because each instance would try it otherwise.
-func WithSuspects(suspects *quarantine.List, exchanges func() bool) Option {
-	return func(d *Dispatcher) { d.suspects, d.exchangesSuspects = suspects, exchanges }
+// WithSuspects sets the list of the queries that seem to crash targets. A suspect is sent only if mayTry returns true, so that not all
+// instances try it at the same time.
+func WithSuspects(suspects *quarantine.List, mayTry func(suspect.Fingerprint) bool) Option {
+	return func(d *Dispatcher) { d.suspects, d.mayTry = suspects, mayTry }
 }
 
 // New returns a Dispatcher.
@@ -180,7 +180,7 @@
 		groups:      func(*Query) []Group { return nil },
 		suspects:    quarantine.NewList(),
 
-		exchangesSuspects: func() bool { return true },
+		mayTry: func(suspect.Fingerprint) bool { return true },
 	}
 	for _, option := range options {
 		option(d)
--- a/internal/tier/dispatch/suspicion.go
+++ b/internal/tier/dispatch/suspicion.go
@@ -36,6 +36,8 @@
 	// with care.
 	crashes   int
 	abandoned bool
+	// inTrial is set while the query, a suspect, is the only one of its kind that this instance sends.
+	inTrial bool
 	// active is the number of attempts that have no result yet, and lone the attempt that began while there was no other, unless another
 	// one has begun since.
 	active int
@@ -61,7 +63,7 @@
 	}
 
 	verdict := d.suspects.Verdict(q.fingerprint(), d.timers.Now())
-	if verdict.Mode == quarantine.Careful && !d.exchangesSuspects() {
+	if verdict.Mode == quarantine.Careful && !d.mayTry(q.fingerprint()) {
 		verdict.Mode = quarantine.Blocked
 	}
 
@@ -82,6 +84,19 @@
 	}
 }
 
+// beginTrial makes the query the only one of those that ask the same which this instance sends. It reports whether there is no other one.
+func (q *activeQuery) beginTrial(now time.Time) bool {
+	q.inTrial = q.d.suspects.BeginTrial(q.request.fingerprint(), now)
+
+	return q.inTrial
+}
+
+func (q *activeQuery) endTrial() {
+	if q.inTrial {
+		q.d.suspects.EndTrial(q.request.fingerprint())
+	}
+}
+
 // holdAll makes all subrequests wait.
 func (q *activeQuery) holdAll() {
 	q.careful = true
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -35,6 +35,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/tier/peer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
 	"github.com/hickorynotch/hickorynotch/internal/world/route"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 // Error is the class of the errors of this package.
@@ -185,7 +186,7 @@
 		Place: place, ReturnPath: defaultReturnPath, Hedges: true,
 	}, dispatch.WithLog(n.log), dispatch.WithMetrics(n.metrics),
 		dispatch.WithGroups(func(q *dispatch.Query) []dispatch.Group { return n.handover.Groups(q) }),
-		dispatch.WithSuspects(n.suspects, func() bool { return n.members.InContact() }))
+		dispatch.WithSuspects(n.suspects, func(f suspect.Fingerprint) bool { return n.members.IsResponsible(f.String()) }))
 	n.peerClient = peer.NewClient(timers)
 	n.members = control.NewFleet(adapters.KeyValueStore, self, timers, control.WithFleetLog(n.log),
 		control.WithDrainBound(settings.DrainBound), control.OnView(n.updateView), control.WithSuspects(n.suspects),
