control: wait for the later leader in the test of a late write of an earlier one

Cause: the test took the three targets on all instances as the sign that a later leader had begun. Since, instances without a leader read the registry themselves, so they may have the targets before the election. The late write was then released and judged before anybody had written the mirror. The product kept its promise: the write was rejected, as its lease had ended.

Change: the test waits until all follow a leader that is not the first one. The check of the mirror is unchanged.

--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -582,6 +582,8 @@
 		time.Sleep(700 * time.Millisecond)
 		f.kill(first)
 		f.registry.set(nil, target("a"), target("b"), target("c"))
+		// Without a leader, instances read the registry themselves, so their targets do not show that a later leader has begun.
+		Expect(f.settle()).NotTo(Equal(first))
 		f.expectTargets(3, "5s")
 		go func() {
 			close(release)
