dispatch: keep the last replicas of shards from queries that no target has answered

Cause: a query of which nothing is known is sent to all shards at once, whatever is left of them. Two more faults showed in the trace: a caller sends a failed query to another instance before that one can know of the crashes, and crashes of shards that a peer gathers were lost when the gatherer had given up. Class: redundancy that was just lost is not reckoned with.

Change: processes that a query no target has answered has crashed count as lost for 4 s, over the fleet, or until a target answers that query. Where that leaves one replica of a shard, other queries wait with this shard until any target has answered them; if it holds for all shards, the one that is likely to answer first is sent alone, and each further one once the usual response time has passed. Lost processes are chosen last by all instances. A query that has crashed targets and failed is answered 0.1 s later, and its attempts are watched for as long. A record holds 128 crashes instead of 32, because a first round ends as many targets as there are shards.

--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -54,6 +54,30 @@
 		Entry("two alone among three", quarantine.Blocked, crash(1, false), crash(2, true), crash(3, true)),
 	)
 
+	It("that a target has answered is cleared, together with the losses of the processes, which another query has crashed", func() {
+		l, other := quarantine.NewList(), suspect.NewFingerprint([]byte("GET /b"))
+		l.RecordCrash(query, crash(1, true), start)
+		l.RecordCrash(other, crash(1, true), start)
+		l.RecordCrash(other, crash(2, true), start)
+		Expect(l.RecordAnswer(other, start)).To(BeTrue())
+		Expect(l.IsLost("p1", start)).To(BeTrue())
+		Expect(l.IsLost("p2", start)).To(BeFalse())
+	})
+
+	It("makes processes count as lost for some seconds, also those that other instances report, and not again with each report", func() {
+		l, other := quarantine.NewList(), quarantine.NewList()
+		other.RecordCrash(query, crash(1, true), start)
+		records, _ := other.Changed(0, start)
+		l.Merge(records, start)
+		Expect(l.IsLost("p1", start.Add(3*time.Second))).To(BeTrue())
+		l.RecordCrash(query, crash(2, true), start.Add(3*time.Second))
+		l.Merge(records, start.Add(3*time.Second))
+		Expect(l.IsLost("p1", start.Add(5*time.Second))).To(BeFalse())
+		Expect(l.IsLost("p2", start.Add(5*time.Second))).To(BeTrue())
+		Expect(l.IsLost("p2", start.Add(10*time.Second))).To(BeFalse())
+		Expect(l.AnyLost()).To(BeFalse())
+	})
+
 	It("that a target has answered is cleared, and crashes of before that arrive late do not count", func() {
 		l, late := block(), block()
 		Expect(l.RecordAnswer(query, start)).To(BeTrue())
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -113,7 +113,7 @@
 	if refused := q.start(ctx, q.d.timers.Now()); refused {
 		return q.answer
 	}
-	defer q.cancelAttempts()
+	defer q.end(ctx)
 
 	timeout := q.d.timers.After(q.d.timers.Until(q.request.Deadline))
 	for {
@@ -161,6 +161,7 @@
 		return true
 	}
 	if !q.careful {
+		q.holdEndangered(now)
 		q.startGroups(ctx)
 		q.startFirstAttempts(now)
 
@@ -192,9 +193,14 @@
 	now := q.d.timers.Now()
 	q.d.observeAttempt(q.request.Route.Name, &r.result)
 	q.recordEvidence(&r, now)
-	if q.careful {
-		defer q.startNextHeld(now)
-	}
+	defer func() {
+		switch {
+		case q.careful:
+			q.startNextHeld(now)
+		case q.active == 0:
+			q.startNextEndangered(now)
+		}
+	}()
 	if s.answered {
 		return
 	}
@@ -353,6 +359,9 @@
 	if q.careful {
 		return wait
 	}
+	if q.endangeredWaits() {
+		wait = q.endangeredAt.Sub(now)
+	}
 	for i := range q.subrequests {
 		if s := &q.subrequests[i]; !s.answered && !s.failed && s.outstanding > 0 {
 			wait = min(wait, s.hedgeAt.Sub(now))
--- a/internal/tier/dispatch/attempt.go
+++ b/internal/tier/dispatch/attempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
@@ -27,7 +28,7 @@
 // startFirstAttempts sends the subrequests that no peer gathers.
 func (q *activeQuery) startFirstAttempts(now time.Time) {
 	for i := range q.subrequests {
-		if q.subrequests[i].outstanding == 0 {
+		if q.subrequests[i].outstanding == 0 && !slices.Contains(q.held, i) {
 			q.startFirstAttempt(i, now)
 		}
 	}
@@ -167,6 +168,9 @@
 	if q.careful {
 		return
 	}
+	if q.endangeredDue(now) {
+		q.startNextEndangered(now)
+	}
 	for i := range q.subrequests {
 		s := &q.subrequests[i]
 		if s.answered || s.failed || s.outstanding == 0 || now.Before(s.hedgeAt) {
--- a/internal/tier/dispatch/crash_test.go
+++ b/internal/tier/dispatch/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,13 +22,13 @@
 	delay time.Duration
 }
 
-// replica returns a backend that ends, with all its connections, as soon as it runs a request whose path is /crash, and answers others
+// replica returns a backend that ends, with all its connections, as soon as it runs a request whose path begins with /crash, and answers others
 // after a delay.
 func (c *crashes) replica(service, id string, delay time.Duration) *backend {
 	var server *httptest.Server
 	answer := reply("part of "+service, id)
 	b := newBackend(service, id, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/crash" {
+		if strings.HasPrefix(r.URL.Path, "/crash") {
 			time.Sleep(c.delay)
 			c.Add(1)
 			_ = server.Listener.Close()
@@ -156,6 +157,55 @@
 		}
 	})
 
+	It("does not end the replicas that another such query has left as the last of their shards", func() {
+		var ended crashes
+		backends, shards := ended.shards(10, 2, 0)
+		d := newDispatcher(options{allowance: 100}, backends...)
+		d.Gather(context.Background(), crashing(shards...))
+		Expect(ended.Load()).To(BeEquivalentTo(10))
+		for i := range 3 {
+			q := crashing(shards...)
+			q.Head = fmt.Appendf(nil, "GET /crash%d HTTP/1.1\r\nHost: a\r\nRequest: r1\r\n", i)
+			d.Gather(context.Background(), q)
+			// Nothing is known of the query until it has ended one.
+			Expect(ended.Load()).To(BeNumerically("<=", 10+i+1))
+		}
+	})
+
+	It("does not keep the last replicas from another query whose other shards do not answer", func() {
+		var ended crashes
+		backends, shards := ended.shards(3, 2, 0)
+		backends, shards = append(backends, newBackend("silent", "silent", hang)), append(shards, "silent")
+		d := newDispatcher(options{allowance: 100}, backends...)
+		q := crashing(shards...)
+		q.Deadline = time.Now().Add(300 * time.Millisecond)
+		d.Gather(context.Background(), q)
+		Expect(ended.Load()).To(BeEquivalentTo(3))
+		Expect(d.Gather(context.Background(), query(gatherRoute(0.5, shards...)))).To(HaveField("Status", dispatch.Answered))
+	})
+
+	It("is suspected for all replicas that it ends, also those that end after the peer that asked for the shards has given up", func() {
+		var ended crashes
+		backends, shards := ended.shards(5, 2, 0)
+		ended.delay = 30 * time.Millisecond
+		d := newDispatcher(options{allowance: 100}, backends...)
+		q := crashing(shards...)
+		q.Shards = shards
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(10*time.Millisecond, cancel)
+		Expect(d.Gather(ctx, q).Status).To(Equal(dispatch.Abandoned))
+		Eventually(func() int { return len(d.Suspicion(crashing(shards...)).Crashes) }, "2s").Should(Equal(5))
+	})
+
+	It("fails no sooner than other instances can know of it, because its caller may send it to one of them at once", func() {
+		var ended crashes
+		backends, shards := ended.shards(10, 2, 0)
+		d := newDispatcher(options{allowance: 100}, backends...)
+		began := time.Now()
+		Expect(d.Gather(context.Background(), crashing(shards...)).Status).To(Equal(dispatch.Unknown))
+		Expect(time.Since(began)).To(BeNumerically(">=", 100*time.Millisecond))
+	})
+
 	It("is not suspected if its connection is lost while the replica lives on", func() {
 		b := newBackend("s1", "a", closeConnection)
 		d := newDispatcher(options{allowance: 10}, b)
--- a/internal/tier/dispatch/replica.go
+++ b/internal/tier/dispatch/replica.go
@@ -28,11 +28,7 @@
 // it. A replica that limits the rate of requests is passed over until it is this instance's turn. If that is true of all, the one whose
 // turn comes first within maxWait is chosen.
 func (q *activeQuery) chooseReplica(s *subrequest, now time.Time, maxWait time.Duration) (r replica, ok bool) {
-	q.links = q.d.pool.Links(q.links[:0], s.service)
-	q.facts = q.facts[:0]
-	for _, l := range q.links {
-		q.facts = append(q.facts, l.Facts(q.request.Route.Name, now))
-	}
+	q.loadReplicas(s.service, now)
 	var limited []int
 	skip := func(k int) bool { return s.attempted(q.links[k]) || slices.Contains(limited, k) }
 	for {
@@ -60,6 +56,19 @@
 	return r, ok
 }
 
+// loadReplicas sets links and facts to the replicas of a service. One that a query has just crashed, as any instance has seen, is chosen
+// last.
+func (q *activeQuery) loadReplicas(service string, now time.Time) {
+	q.links, q.facts = q.d.pool.Links(q.links[:0], service), q.facts[:0]
+	for _, l := range q.links {
+		facts := l.Facts(q.request.Route.Name, now)
+		if q.d.isLost(l, now) {
+			facts.Failures = 1
+		}
+		q.facts = append(q.facts, facts)
+	}
+}
+
 // reserveTurn chooses the link whose turn comes first and reserves it, if it comes within maxWait.
 func (q *activeQuery) reserveTurn(r *replica, limited []int, now time.Time, maxWait time.Duration) (ok bool) {
 	first, turnIn := -1, time.Duration(0)
@@ -103,12 +112,7 @@
 	if q.forwarded || q.subset || q.request.MaybeSent || !q.d.pool.Limited() {
 		return true
 	}
-	var grouped set.Set[int]
-	for _, g := range q.groups {
-		for _, i := range g.Shards {
-			grouped.Add(i)
-		}
-	}
+	grouped := q.grouped()
 	longest, limited := q.longestWait(now), 0
 	var unservable []*target.Link
 	for i := range q.subrequests {
@@ -132,6 +136,17 @@
 	return false
 }
 
+// grouped returns the subrequests that peers gather.
+func (q *activeQuery) grouped() (grouped set.Set[int]) {
+	for _, g := range q.groups {
+		for _, i := range g.Shards {
+			grouped.Add(i)
+		}
+	}
+
+	return grouped
+}
+
 // shardTurn returns the time until this instance may send a request to one of the replicas of a service, 0 if there is none.
 func (q *activeQuery) shardTurn(service string, now time.Time) (first time.Duration) {
 	q.links = q.d.pool.Links(q.links[:0], service)
--- a/internal/tier/dispatch/suspicion.go
+++ b/internal/tier/dispatch/suspicion.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
@@ -18,6 +20,8 @@
 	// maxQueryCrashes is the number of targets that a query that was not a suspect before can lose and still be sent to others, although
 	// none has answered it. It is 2 so that a query for one target survives the loss of that target.
 	maxQueryCrashes = 2
+	// spreadTime is the time in which the other instances learn of a crash: three messages between regions.
+	spreadTime = 100 * time.Millisecond
 	// hedgedShards is the number of shards up to which a query is hedged before a target has answered it. That more are late for reasons
 	// of their own at the same time is unlikely.
 	hedgedShards = 2
@@ -27,9 +31,12 @@
 type suspicion struct {
 	// answered is set once a target has answered a subrequest.
 	answered bool
-	// careful is set while the query is sent to one target at a time, and held are the subrequests that wait meanwhile.
+	// careful is set while the query is sent to one target at a time. held are the subrequests that wait for an answer to another one.
 	careful bool
 	held    []int
+	// sparing is set if holdEndangered has made subrequests wait, and endangeredAt is when the next one of them is sent.
+	sparing      bool
+	endangeredAt time.Time
 	// verdict is the one with which the query began.
 	verdict quarantine.Verdict
 	// crashes counts the targets that have ended during the query. abandoned is set once that has happened to one that was sent the query
@@ -105,6 +112,78 @@
 	}
 }
 
+// holdEndangered makes the subrequests wait that could end the last replica of a shard because other queries have just crashed the others
+// of it. They are sent once a target has answered the query. At least one subrequest of this instance is sent at once.
+func (q *activeQuery) holdEndangered(now time.Time) {
+	if q.forwarded || !q.d.suspects.AnyLost() {
+		return
+	}
+	var endangered []int
+	for i := range q.subrequests {
+		if !q.sparesReplica(i, now) {
+			endangered = append(endangered, i)
+		}
+	}
+	if len(endangered) == len(q.subrequests) {
+		// Each peer would send one subrequest at once.
+		q.groups = nil
+	}
+	grouped := q.grouped()
+	for _, i := range endangered {
+		if !grouped.Has(i) {
+			q.held = append(q.held, i)
+		}
+	}
+	q.sparing = len(q.held) > 0
+	if q.sparing && len(q.held) == len(q.subrequests)-grouped.Len() {
+		q.takeFastestHeld(now)
+	}
+	q.expectAnswer(now)
+}
+
+// endangeredWaits reports whether subrequests wait because of holdEndangered.
+func (q *activeQuery) endangeredWaits() bool { return !q.careful && !q.answered && len(q.held) > 0 }
+
+// endangeredDue reports whether the subrequests of which holdEndangered made others wait should have been answered by now.
+func (q *activeQuery) endangeredDue(now time.Time) bool {
+	return q.endangeredWaits() && !now.Before(q.endangeredAt)
+}
+
+// startNextEndangered sends one of the subrequests that wait because of holdEndangered, although no target has answered the query yet.
+func (q *activeQuery) startNextEndangered(now time.Time) {
+	if !q.endangeredWaits() {
+		return
+	}
+	i := q.takeFastestHeld(now)
+	q.expectAnswer(now)
+	q.startHeld(i, now)
+}
+
+// expectAnswer sets the time until which the subrequests that wait do so for an answer to those that were sent.
+func (q *activeQuery) expectAnswer(now time.Time) {
+	q.endangeredAt = now.Add(max(q.d.responseTimeP90(q.request.Route.Name), hedgeRetryDelay))
+}
+
+// takeFastestHeld removes from the subrequests that wait the one that is likely to be answered first, and returns it.
+func (q *activeQuery) takeFastestHeld(now time.Time) (fastest int) {
+	position, lowest := 0, time.Duration(0)
+	for k, i := range q.held {
+		q.loadReplicas(q.subrequests[i].service, now)
+		if v := choice.Choose(q.facts, q.d.settings.Place, func(int) bool { return false }); k == 0 || v.Cost < lowest {
+			position, lowest = k, v.Cost
+		}
+	}
+	fastest = q.held[position]
+	q.held = slices.Delete(q.held, position, position+1)
+
+	return fastest
+}
+
+// isLost reports whether a query has crashed the target's process so recently that it may not be back.
+func (d *Dispatcher) isLost(l *target.Link, now time.Time) bool {
+	return d.suspects.AnyLost() && d.suspects.IsLost(l.Process(), now)
+}
+
 // recordEvidence takes the result of an attempt as evidence for or against the query.
 func (q *activeQuery) recordEvidence(r *attemptResult, now time.Time) {
 	switch {
@@ -123,6 +202,46 @@
 	}
 }
 
+// end cancels the attempts of a query that has ended. Those of a query that may be crashing targets go on for spreadTime, so that all its
+// crashes are known. Its failure is answered after that time, because the caller may send it to another instance at once.
+func (q *activeQuery) end(ctx context.Context) {
+	if q.answered || q.crashes == 0 && !q.subset {
+		q.cancelAttempts()
+
+		return
+	}
+	// It is computed here because collectCrashes may still need it when the caller owns the request again.
+	q.request.fingerprint()
+	spread := q.d.timers.After(spreadTime)
+	go func() {
+		defer q.cancelAttempts()
+		q.collectCrashes(spread)
+	}()
+	if q.subset {
+		return
+	}
+	select {
+	case <-q.d.timers.After(min(spreadTime, q.d.timers.Until(q.request.Deadline))):
+	case <-ctx.Done():
+	}
+}
+
+// collectCrashes records the crashes of targets until spread delivers a value.
+func (q *activeQuery) collectCrashes(spread <-chan time.Time) {
+	for q.active > 0 {
+		select {
+		case r := <-q.results:
+			r.attempt.ended = true
+			q.active--
+			if r.result.Crashed {
+				q.recordEvidence(&r, q.d.timers.Now())
+			}
+		case <-spread:
+			return
+		}
+	}
+}
+
 // clear records that a target has answered the query, and sends the subrequests that waited for that.
 func (q *activeQuery) clear(now time.Time) {
 	if q.answered {
@@ -175,7 +294,7 @@
 	for len(q.held) > 0 && q.active == 0 {
 		i := q.held[0]
 		q.held = q.held[1:]
-		if q.abandoned || q.crashes > maxQueryCrashes || !q.sparesReplica(i) {
+		if q.abandoned || q.crashes > maxQueryCrashes || q.mustSpare() && !q.sparesReplica(i, now) {
 			q.markFailed(&q.subrequests[i])
 
 			continue
@@ -184,16 +303,17 @@
 	}
 }
 
-// sparesReplica reports whether a replica of the subrequest's service is left if the query, which was a suspect before, crashes another one.
-// A service without a replica that has ended recently counts as having one left, because it may have only one.
-func (q *activeQuery) sparesReplica(i int) bool {
-	if q.verdict.Mode != quarantine.Careful {
-		return true
-	}
+// mustSpare reports whether the query, if it is sent with care, must not end the last replica of a shard: it was a suspect before, or other
+// queries have crashed many targets.
+func (q *activeQuery) mustSpare() bool { return q.sparing || q.verdict.Mode == quarantine.Careful }
+
+// sparesReplica reports whether a replica of the subrequest's service is left if the query crashes one. A service without a replica that has
+// ended recently counts as having one left, because it may have only one.
+func (q *activeQuery) sparesReplica(i int, now time.Time) bool {
 	alive, ended := 0, 0
 	q.links = q.d.pool.Links(q.links[:0], q.subrequests[i].service)
 	for _, l := range q.links {
-		if l.EndedRecently() || q.verdict.Crashed(l.Process()) {
+		if l.EndedRecently() || q.verdict.Crashed(l.Process()) || q.d.isLost(l, now) {
 			ended++
 		} else {
 			alive++
--- a/internal/world/suspect/suspect.go
+++ b/internal/world/suspect/suspect.go
@@ -45,8 +45,8 @@
 }
 
 const (
-	// MaxCrashes is the maximum number of crashes in a record.
-	MaxCrashes = 32
+	// MaxCrashes is the maximum number of crashes in a record. A query for 100 shards can crash as many targets at first.
+	MaxCrashes = 128
 	// MaxBlocks is the maximum of Record.Blocks.
 	MaxBlocks = 16
 	// MaxLeft is the maximum of Record.Left.
