control: read the configuration when a long poll has confirmed nothing for too long

What callers could see: an instance that cannot reach the leader reads the store itself, by one long poll of 8 to 28 s. If nothing arrives on its connection, it goes on with the configuration that it has, and refuses routes that were added since.

Change: each long poll is ended once the configuration was last confirmed half a second less than the bound ago, and the store is read. The leader never gets that far, because it reads each second.

--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -303,6 +303,9 @@
 
 func (c *Configuration) longPoll(ctx context.Context, revision uint64) (stored ConfigurationResult, err error) {
 	wait := c.pollTime()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go c.refreshOnceOverdue(ctx)
 	_, _, err = pollUntilRefresh(ctx, c.timers, c.refreshCh, wait, func(ctx context.Context) ([]Entry, uint64, error) {
 		var err error
 		stored, err = c.source.Wait(ctx, revision, wait)
@@ -313,6 +316,23 @@
 	return stored, err
 }
 
+// refreshOnceOverdue ends a long poll once a change may be overdue. The leader never gets that far, because it reads the configuration each
+// second. For other instances that read the store themselves, a connection that nothing arrives on looks like a store without changes.
+func (c *Configuration) refreshOnceOverdue(ctx context.Context) {
+	for {
+		select {
+		case <-c.timers.After(c.untilOverdue()):
+		case <-ctx.Done():
+			return
+		}
+		if c.isOverdue() {
+			c.Refresh()
+
+			return
+		}
+	}
+}
+
 // adopt brings a stored configuration into force if it is valid and newer than the one in force.
 func (c *Configuration) adopt(stored ConfigurationResult) {
 	if stored.Fault != nil {
--- a/internal/tier/control/confirmation_test.go
+++ b/internal/tier/control/confirmation_test.go
@@ -60,6 +60,31 @@
 	})
 })
 
+var _ = Describe("A change of the configuration that the long poll does not hear of", func() {
+	It("is in force within the bound on an instance that cannot reach the leader", func() {
+		f := newFollowingFleet(names(8)...)
+		leader := f.settle()
+		for _, i := range f.all() {
+			if i.name == leader {
+				continue
+			}
+			i.isolated.Store(true)
+			Eventually(func() bool {
+				usesStore, _ := i.fleet.UsesStore()
+
+				return usesStore
+			}, "15s").Should(BeTrue())
+			// A long poll may have begun before the instance lost the leader.
+			time.Sleep(500 * time.Millisecond)
+			i.watchDeaf.Store(true)
+			f.version.Store(2)
+			expectInForce(i, 2, time.Now())
+
+			return
+		}
+	})
+})
+
 // killLeaders kills each instance that acquires the leader's key, until the given time.
 func (f *followingFleet) killLeaders(until time.Time) {
 	for time.Now().Before(until) {
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -56,8 +56,10 @@
 	storeCut atomic.Bool
 	// silenced drops all messages between the instance and the others, which is noticed only by a timeout.
 	silenced atomic.Bool
-	// configurationCut makes the instance's reads of the configuration fail.
+	// configurationCut makes the instance's reads of the configuration fail, and watchDeaf makes its long polls of the configuration hear of
+	// no change.
 	configurationCut atomic.Bool
+	watchDeaf        atomic.Bool
 	// lostAll is set once the instance has dropped all its targets.
 	lostAll atomic.Bool
 }
@@ -190,7 +192,7 @@
 		Wait: func(ctx context.Context, after uint64, wait time.Duration) (control.ConfigurationResult, error) {
 			f.calls.Add(1)
 			for end := time.Now().Add(wait); ctx.Err() == nil && time.Now().Before(end) && !i.storeCut.Load(); {
-				if f.version.Load() > after {
+				if f.version.Load() > after && !i.watchDeaf.Load() {
 					return read()
 				}
 				time.Sleep(10 * time.Millisecond)
