absence: make the time for which a target wants nothing a decision of its own

No change of behaviour: the state and its rules move from tier/target to decision/absence, so that the emulator can replay them.

--- a/internal/tier/target/limits.go
+++ b/internal/tier/target/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/absence"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
 )
 
@@ -30,7 +31,7 @@
 	started time.Time
 	at      time.Time
 	limit   rateLimit
-	absence absence
+	absence absence.State
 }
 
 // retainRateLimit keeps the rate limit of a target that leaves the directory. p.mu must be held.
@@ -43,7 +44,7 @@
 			delete(p.departedLimits, id)
 		}
 	}
-	if l.rateLimit.current(now).named || now.Before(l.absence.until) {
+	if l.rateLimit.current(now).named || l.absence.Away(now) {
 		p.departedLimits[l.id] = departedLimit{started: l.target.Started, at: now, limit: l.rateLimit, absence: l.absence}
 	}
 }
@@ -58,7 +59,7 @@
 	defer l.mu.Unlock()
 	if ok && departed.started.Equal(l.target.Started) && now.Sub(departed.at) <= limitRetention {
 		l.rateLimit, l.absence = departed.limit, departed.absence
-		l.absence.taken = 0
+		l.absence.Forget()
 	}
 	p.applyPassedOn(l, now)
 }
--- a/internal/tier/target/link.go
+++ b/internal/tier/target/link.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/absence"
 	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 )
@@ -42,7 +43,7 @@
 	failureRateAt  time.Time
 	lastResponseAt time.Time // when the last response with an HTTP status was received
 	rateLimit      rateLimit
-	absence        absence
+	absence        absence.State
 	endedAt        time.Time // when a connection was last refused, because no process listens
 	leaving        bool      // the target's process has said that it leaves
 	closed         bool      // the target was removed from the directory, or the pool was closed
--- a/internal/tier/target/rate_limit.go
+++ b/internal/tier/target/rate_limit.go
@@ -147,7 +147,7 @@
 func (l *Link) Reserve(now time.Time, maxWait time.Duration) (wait time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if wait := l.absence.wait(now); wait > 0 {
+	if wait := l.absence.Wait(now); wait > 0 {
 		return wait, false
 	}
 	wait, ok = 0, true
@@ -155,7 +155,7 @@
 		wait, ok = pacer.Reserve(now, limit, maxWait)
 	}
 	if ok {
-		l.absence.take()
+		l.absence.Take()
 	}
 
 	return wait, ok
@@ -165,7 +165,7 @@
 func (l *Link) Refund() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.absence.giveBack()
+	l.absence.GiveBack()
 	if l.rateLimit.pacer != nil {
 		l.rateLimit.pacer.Refund()
 	}
@@ -175,7 +175,7 @@
 func (l *Link) TurnIn(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	wait := l.absence.wait(now)
+	wait := l.absence.Wait(now)
 	if pacer, limit := l.currentPacer(now); pacer != nil {
 		wait = max(wait, pacer.Wait(now, limit))
 	}
