emulator: replicas that name a time to come back, and that leave by their own word

Patterns say when replicas shed or leave; instances keep what they hear, with the decision of decision/absence, and skip such replicas. Two mechanisms switch that off.

The tests require none with the mechanism and some without.

--- a/internal/emulator/pattern/pattern.go
+++ b/internal/emulator/pattern/pattern.go
@@ -69,6 +69,8 @@
 	PauseLength duration.Duration `json:",omitempty"`
 	Slow        []Slow            `json:",omitempty"`
 	Away        []Away            `json:",omitempty"`
+	Shedding    []Shedding        `json:",omitempty"`
+	Leaving     []Leaving         `json:",omitempty"`
 }
 
 // Slow multiplies the service time of some replicas by Factor between From and To.
@@ -87,6 +89,23 @@
 	Replicas int
 }
 
+// Shedding makes some replicas refuse requests between From and To, and name RetryAfter as the time to come back. Fraction and Replicas
+// select them as in Slow.
+type Shedding struct {
+	From, To   duration.Duration
+	Fraction   float64
+	Replicas   int
+	RetryAfter duration.Duration
+}
+
+// Leaving makes some replicas say that they leave in all responses between From and To, and refuse connections after that. Fraction and
+// Replicas select them as in Slow.
+type Leaving struct {
+	From, To duration.Duration
+	Fraction float64
+	Replicas int
+}
+
 // Queries describes the queries that callers send.
 type Queries struct {
 	// ASecond is the mean number of queries per second.
@@ -171,6 +190,12 @@
 	requirePositive("Targets.Replicas", float64(p.Targets.Replicas))
 	requirePositive("Targets.Slots", float64(p.Targets.Slots))
 	requirePositive("Targets.Work", float64(p.Targets.Work))
+	for i, shedding := range p.Targets.Shedding {
+		requirePositive(fmt.Sprintf("Targets.Shedding[%d].RetryAfter", i), float64(shedding.RetryAfter))
+	}
+	for i, leaving := range p.Targets.Leaving {
+		requirePositive(fmt.Sprintf("Targets.Leaving[%d].To", i), float64(leaving.To-leaving.From))
+	}
 	requirePositive("Queries.ASecond", p.Queries.ASecond)
 	requirePositive("Queries.Objective", float64(p.Queries.Objective))
 	requirePositive("Queries.MaxAttempts", float64(p.Queries.MaxAttempts))
--- a/internal/emulator/replay/query.go
+++ b/internal/emulator/replay/query.go
@@ -142,17 +142,25 @@
 	shard.outstanding++
 	g, state, sent := q.gatherer, q.gatherer.state(r), s.now
 	state.inFlight = append(state.inFlight, sent)
+	if state.leaving {
+		s.result.SentLeaving++
+	}
+	if state.absence.Away(s.decisionTime()) {
+		s.result.SentAway++
+	}
+	state.absence.Take()
 	s.schedule(s.transfer(g, r.zone, 0), func() {
-		r.serve(func(ok bool, load int) {
+		r.serve(func(response response) {
 			bytes := 0.0
-			if ok {
+			if response.ok {
 				bytes = s.pattern.Targets.PartBytes
 			}
 			s.schedule(s.transfer(g, r.zone, bytes), func() {
 				g.receive(s, bytes, partProcessorTime, func() {
-					state.requestEnded(sent, s.now, ok)
-					state.reportedLoad, state.reportedAt = load, s.now
-					q.attemptEnded(n, ok, s.now-sent)
+					state.requestEnded(sent, s.now, response.ok)
+					state.reportedLoad, state.reportedAt = response.load, s.now
+					state.hear(response, s.now)
+					q.attemptEnded(n, response.ok, s.now-sent)
 				})
 			})
 		})
@@ -172,7 +180,9 @@
 	if len(q.shards[n].tried) >= s.pattern.Queries.MaxAttempts {
 		return nil
 	}
-	skip := func(i int) bool { return slices.Contains(q.shards[n].tried, replicas[i]) }
+	skip := func(i int) bool {
+		return slices.Contains(q.shards[n].tried, replicas[i]) || !q.gatherer.state(replicas[i]).wantsRequests(&s.policy, s.now)
+	}
 	if s.policy.Off.Has(Choice) {
 		var nearest *replica
 		for i, r := range replicas {
--- a/internal/emulator/replay/replay.go
+++ b/internal/emulator/replay/replay.go
@@ -41,11 +41,15 @@
 	Placement Mechanism = "Placement"
 	// RoundTrips off: the usual times over the distance are assumed instead of measured ones.
 	RoundTrips Mechanism = "RoundTrips"
+	// Absence off: a replica that has named a time to come back gets requests before.
+	Absence Mechanism = "Absence"
+	// Leaving off: a replica that has said that it leaves gets requests until it is gone.
+	Leaving Mechanism = "Leaving"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{Choice, Hedging, Coverage, Budget, Admission, Placement, RoundTrips}
+	return []Mechanism{Choice, Hedging, Coverage, Budget, Admission, Placement, RoundTrips, Absence, Leaving}
 }
 
 // Policy selects the mechanisms that are off.
@@ -75,6 +79,10 @@
 	ExtraLoad float64
 	// Overspent is the largest number by which the extra requests to a shard in any window exceed the budget, or zero.
 	Overspent float64
+	// SentAway is the number of requests to replicas that the instance knew to want none until a later time, and SentLeaving that of
+	// requests to replicas that had told the instance that they leave.
+	SentAway    int
+	SentLeaving int
 	// RegionBytes and ZoneBytes are the bytes transferred between regions and between availability zones of a region.
 	RegionBytes float64
 	ZoneBytes   float64
@@ -98,8 +106,8 @@
 // String formats the figures as one line of text.
 func (r *Result) String() string {
 	return fmt.Sprintf("Worth=%.3f InTime=%d Late=%d Refused=%d Failed=%d Coverage=%.3f P50=%v P99=%v ExtraLoad=%.3f "+
-		"Overspent=%.0f RegionBytes=%.0f ZoneBytes=%.0f", r.Worth, r.InTime, r.Late, r.Refused, r.Failed, r.Coverage,
-		r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.ExtraLoad, r.Overspent, r.RegionBytes, r.ZoneBytes)
+		"Overspent=%.0f SentAway=%d SentLeaving=%d RegionBytes=%.0f ZoneBytes=%.0f", r.Worth, r.InTime, r.Late, r.Refused, r.Failed, r.Coverage,
+		r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.ExtraLoad, r.Overspent, r.SentAway, r.SentLeaving, r.RegionBytes, r.ZoneBytes)
 }
 
 const (
--- a/internal/emulator/replay/replay_test.go
+++ b/internal/emulator/replay/replay_test.go
@@ -54,6 +54,20 @@
 	})
 })
 
+var _ = DescribeTable("What a replica says of itself is obeyed, and is not if the mechanism is off",
+	func(name string, mechanism replay.Mechanism, sent func(replay.Result) int) {
+		p := load(name)
+		with, without := replay.Run(p, replay.Policy{}, 1), replay.Run(p, replay.Without(mechanism), 1)
+		Expect(sent(with)).To(BeZero())
+		Expect(sent(without)).To(BeNumerically(">", 0))
+		Expect(with.Worth).To(BeNumerically(">=", without.Worth-0.01), "%s", &with)
+	},
+	Entry("a replica that names a time to come back gets nothing until then", "shedding", replay.Absence,
+		func(r replay.Result) int { return r.SentAway }),
+	Entry("a replica that leaves by its own word gets nothing more, although the registry is silent", "leaving", replay.Leaving,
+		func(r replay.Result) int { return r.SentLeaving }),
+)
+
 var _ = DescribeTable("A fleet of the size that the system is designed for is replayed within a minute, and queries are answered",
 	func(name string, instances, replicas int) {
 		p := load(name)
--- a/internal/emulator/replay/world.go
+++ b/internal/emulator/replay/world.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/absence"
 	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
 	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/decision/hedging"
@@ -34,6 +35,8 @@
 	reportedLoad int // running and queued requests, as last reported
 	reportedAt   time.Duration
 	failureRate  float64 // moving average of the failure rate
+	absence      absence.State
+	leaving      bool // the replica has said that it leaves
 }
 
 // replica is a target that holds a shard.
@@ -146,6 +149,24 @@
 	return f
 }
 
+// wantsRequests reports whether the replica takes requests of the instance, as far as the policy goes by what replicas say of themselves.
+func (s *replicaState) wantsRequests(policy *Policy, now time.Duration) bool {
+	return (policy.Off.Has(Leaving) || !s.leaving) && (policy.Off.Has(Absence) || s.absence.Wait(epoch.Add(now)) == 0)
+}
+
+// hear records what a replica says of itself in a response.
+func (s *replicaState) hear(r response, now time.Duration) {
+	at := epoch.Add(now)
+	s.leaving = s.leaving || r.leaving
+	s.absence.GiveBack()
+	switch {
+	case r.retryAfter > 0:
+		s.absence.Refused(at, at.Add(r.retryAfter))
+	case r.ok:
+		s.absence.Succeeded(at)
+	}
+}
+
 // requestEnded records the end of a request that was sent at the given time.
 func (s *replicaState) requestEnded(sent, now time.Duration, ok bool) {
 	for i, at := range s.inFlight {
@@ -180,6 +201,33 @@
 			return true
 		}
 	}
+	for _, l := range r.sim.pattern.Targets.Leaving {
+		if r.affected(l.To.Std(), r.sim.pattern.Length.Std(), l.Fraction, l.Replicas) {
+			return true
+		}
+	}
+
+	return false
+}
+
+// shedding returns the time to come back that the replica names in a refusal now, 0 if it does not refuse requests.
+func (r *replica) shedding() time.Duration {
+	for _, s := range r.sim.pattern.Targets.Shedding {
+		if r.affected(s.From.Std(), s.To.Std(), s.Fraction, s.Replicas) {
+			return s.RetryAfter.Std()
+		}
+	}
+
+	return 0
+}
+
+// leaves reports whether the replica says in its responses now that it leaves.
+func (r *replica) leaves() bool {
+	for _, l := range r.sim.pattern.Targets.Leaving {
+		if r.affected(l.From.Std(), l.To.Std(), l.Fraction, l.Replicas) {
+			return true
+		}
+	}
 
 	return false
 }
@@ -191,13 +239,31 @@
 	return now >= from && now < to && r.index < replicas && float64(r.shard) < fraction*float64(len(r.sim.shards))
 }
 
-// serve runs or queues a request and calls done with the outcome and the load of the replica. If the queue is full or the replica
-// does not accept connections, it calls done immediately.
-func (r *replica) serve(done func(ok bool, load int)) {
+// response is the outcome of a request at a replica.
+type response struct {
+	ok   bool
+	load int // running and queued requests of the replica
+	// retryAfter is the time to come back that the replica has named, 0 if none, and leaving is set if it has said that it leaves.
+	retryAfter time.Duration
+	leaving    bool
+}
+
+// respond returns a response of the replica now.
+func (r *replica) respond(ok bool) response {
+	return response{ok: ok, load: r.running + len(r.queue), leaving: r.leaves()}
+}
+
+// serve runs or queues a request and calls done with the response. If the replica sheds, its queue is full or it does not accept
+// connections, it calls done immediately.
+func (r *replica) serve(done func(response)) {
 	t := &r.sim.pattern.Targets
 	switch {
 	case r.refusesConnections(), r.running >= t.Slots && len(r.queue) >= t.Queue:
-		done(false, r.running+len(r.queue))
+		done(r.respond(false))
+	case r.shedding() > 0:
+		refusal := r.respond(false)
+		refusal.retryAfter = r.shedding()
+		done(refusal)
 	case r.running >= t.Slots:
 		r.queue = append(r.queue, func() { r.run(done) })
 	default:
@@ -206,7 +272,7 @@
 }
 
 // run occupies a slot for the service time of a request and then starts the next request in the queue.
-func (r *replica) run(done func(ok bool, load int)) {
+func (r *replica) run(done func(response)) {
 	r.running++
 	r.sim.schedule(r.serviceTime(), func() {
 		r.running--
@@ -215,7 +281,7 @@
 			r.queue = r.queue[1:]
 			next()
 		}
-		done(true, r.running+len(r.queue))
+		done(r.respond(true))
 	})
 }
 
