quarantine: stop looking for lost processes once their time is over

Found by reading the diff: the count of lost processes fell only when one of them was looked up, and a process that has been replaced never is. Each query then looked at all replicas of all its shards until the next loss. The time of the last loss decides now. The test that processes count as lost for some seconds checks AnyLost at both ends.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -37,11 +37,8 @@
 	maximumBlockTime = 24 * time.Hour
 	// maximumTrialTime is the time after which a trial that has not ended does not keep the next one from beginning.
 	maximumTrialTime = 30 * time.Second
-	// lossTime is how long a process that a query has crashed counts as not replaced by another one, unless a target answers the query.
-	lossTime = 4 * time.Second
-	// maxRecords is the maximum number of records, and maxLosses that of the processes that count as lost.
+	// maxRecords is the maximum number of records.
 	maxRecords = 1024
-	maxLosses  = 1 << 13
 	// maxReports is the maximum number of records that are reported at once.
 	maxReports = 64
 )
@@ -86,28 +83,21 @@
 	trialUntil time.Time
 }
 
-// loss is the loss of a process that a query has crashed.
-type loss struct {
-	query suspect.Fingerprint
-	until time.Time
-}
-
 // List holds the records of an instance. It is safe for concurrent use.
 type List struct {
-	// size is the number of records, for Empty, and lossCount the number of losses, for AnyLost.
-	size      atomic.Int64
-	lossCount atomic.Int64
+	// size is the number of records, for Empty.
+	size atomic.Int64
 
 	mu         sync.Mutex
 	records    map[suspect.Fingerprint]*record
-	losses     map[string]loss // by process
+	losses     losses
 	sequence   uint64
 	onObserved func()
 }
 
 // NewList returns an empty List.
 func NewList() *List {
-	return &List{records: make(map[suspect.Fingerprint]*record), losses: make(map[string]loss), onObserved: func() {}}
+	return &List{records: make(map[suspect.Fingerprint]*record), losses: newLosses(), onObserved: func() {}}
 }
 
 // OnObserved sets the function that is called when this instance itself has changed a record. It must be set before the first use.
@@ -174,7 +164,7 @@
 	}
 	changed := r.add(c)
 	if changed {
-		l.lose(f, c.Process, now)
+		l.losses.add(c.Process, f, now)
 	}
 	if retested := r.Blocks > 0 && c.Alone && !now.Before(r.blockedUntil); retested {
 		r.Blocks = min(r.Blocks+1, suspect.MaxBlocks)
@@ -212,59 +202,11 @@
 	return true
 }
 
-// AnyLost reports whether IsLost may be true of any process.
-func (l *List) AnyLost() bool { return l.lossCount.Load() > 0 }
-
-// IsLost reports whether a query that no target has answered has crashed the process so recently that another process may not have taken
-// its place.
-func (l *List) IsLost(process string, now time.Time) bool {
-	if !l.AnyLost() {
-		return false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	lost, ok := l.losses[process]
-	if ok && now.After(lost.until) {
-		l.dropLosses(now)
-
-		return false
-	}
-
-	return ok
-}
-
-// lose records the loss of a process. l.mu must be held.
-func (l *List) lose(f suspect.Fingerprint, process string, now time.Time) {
-	if _, ok := l.losses[process]; ok {
-		return
-	}
-	if len(l.losses) >= maxLosses {
-		l.dropLosses(now)
-	}
-	if len(l.losses) < maxLosses {
-		l.losses[process] = loss{query: f, until: now.Add(lossTime)}
-	}
-	l.lossCount.Store(int64(len(l.losses)))
-}
-
-// dropLosses drops the losses that are over. l.mu must be held.
-func (l *List) dropLosses(now time.Time) {
-	for process, lost := range l.losses {
-		if now.After(lost.until) {
-			delete(l.losses, process)
-		}
-	}
-	l.lossCount.Store(int64(len(l.losses)))
-}
-
 // clear begins another epoch of a record, with no evidence against the query. l.mu must be held.
 func (l *List) clear(r *record, epoch int) {
 	for _, c := range r.Crashes {
-		if l.losses[c.Process].query == r.Fingerprint {
-			delete(l.losses, c.Process)
-		}
+		l.losses.remove(c.Process, r.Fingerprint)
 	}
-	l.lossCount.Store(int64(len(l.losses)))
 	r.Epoch, r.Crashes, r.Blocks, r.blockedUntil = epoch, nil, 0, time.Time{}
 }
 
@@ -297,7 +239,7 @@
 	}
 	for _, c := range from.Crashes {
 		if r.add(c) {
-			l.lose(r.Fingerprint, c.Process, now)
+			l.losses.add(c.Process, r.Fingerprint, now)
 			changed = true
 		}
 	}
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -75,7 +75,8 @@
 		Expect(l.IsLost("p1", start.Add(5*time.Second))).To(BeFalse())
 		Expect(l.IsLost("p2", start.Add(5*time.Second))).To(BeTrue())
 		Expect(l.IsLost("p2", start.Add(10*time.Second))).To(BeFalse())
-		Expect(l.AnyLost()).To(BeFalse())
+		Expect(l.AnyLost(start.Add(5 * time.Second))).To(BeTrue())
+		Expect(l.AnyLost(start.Add(10 * time.Second))).To(BeFalse())
 	})
 
 	It("that a target has answered is cleared, and crashes of before that arrive late do not count", func() {
--- a/internal/tier/dispatch/suspicion.go
+++ b/internal/tier/dispatch/suspicion.go
@@ -115,7 +115,7 @@
 // holdEndangered makes the subrequests wait that could end the last replica of a shard because other queries have just crashed the others
 // of it. They are sent once a target has answered the query. At least one subrequest of this instance is sent at once.
 func (q *activeQuery) holdEndangered(now time.Time) {
-	if q.forwarded || !q.d.suspects.AnyLost() {
+	if q.forwarded || !q.d.suspects.AnyLost(now) {
 		return
 	}
 	var endangered []int
@@ -181,7 +181,7 @@
 
 // isLost reports whether a query has crashed the target's process so recently that it may not be back.
 func (d *Dispatcher) isLost(l *target.Link, now time.Time) bool {
-	return d.suspects.AnyLost() && d.suspects.IsLost(l.Process(), now)
+	return d.suspects.AnyLost(now) && d.suspects.IsLost(l.Process(), now)
 }
 
 // recordEvidence takes the result of an attempt as evidence for or against the query.
@@ -303,8 +303,8 @@
 	}
 }
 
-// mustSpare reports whether the query, if it is sent with care, must not end the last replica of a shard: it was a suspect before, or other
-// queries have crashed many targets.
+// mustSpare reports whether the query, once it is sent with care, must not end the last replica of a shard: it was a suspect before, or
+// holdEndangered has made subrequests wait.
 func (q *activeQuery) mustSpare() bool { return q.sparing || q.verdict.Mode == quarantine.Careful }
 
 // sparesReplica reports whether a replica of the subrequest's service is left if the query crashes one. A service without a replica that has
