control: store the records of queries that have crashed several targets, not only of those that are blocked

Cause: only the records of blocked queries were stored. Class: knowledge that outlives a process only from a later state on.

Change: the leader stores the records of queries that have crashed as many targets as a block takes. An instance that restarts reads them with all other keys, before it serves.

Evidence: 'is not forgotten when all instances are restarted at once before it is blocked' fails before.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -363,13 +363,26 @@
 
 // BlockedRecords returns the records of the queries that are blocked.
 func (l *List) BlockedRecords(now time.Time) (records []suspect.Record) {
+	return l.filter(now, func(r *record) bool { return now.Before(r.blockedUntil) })
+}
+
+// StrongRecords returns the records of the queries that have crashed as many targets as it takes to block a query, whether or not they are
+// blocked.
+func (l *List) StrongRecords(now time.Time) (records []suspect.Record) {
+	return l.filter(now, func(r *record) bool { return !now.After(r.expires) && r.strong() })
+}
+
+// strong reports whether the query has crashed as many targets as it takes to block it. A query that was only lost with others rarely has.
+func (r *record) strong() bool { return len(r.Crashes) >= minimumCrashes }
+
+func (l *List) filter(now time.Time, keep func(*record) bool) (records []suspect.Record) {
 	if l.Empty() {
 		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.records {
-		if now.Before(r.blockedUntil) {
+		if keep(r) {
 			records = append(records, r.share(now))
 		}
 	}
--- a/internal/tier/control/suspects.go
+++ b/internal/tier/control/suspects.go
@@ -15,7 +15,7 @@
 
 const (
 	// suspectPrefix is the prefix of the keys under which the leader passes on the queries that seem to crash targets. Those of queries that
-	// are blocked are also stored, because all instances may be restarted at once.
+	// have crashed several are also stored, because instances that restart have to know them before they follow a leader.
 	suspectPrefix = ownPrefix + "suspects/"
 	// suspectRefreshInterval is the interval at which the leader passes on all records again, because an instance that follows it later
 	// receives them with the time left of when they were passed on.
@@ -126,7 +126,7 @@
 	return nil
 }
 
-// syncSuspects writes the records of blocked queries that have changed, and deletes those of queries that are not blocked any more. A failure
+// syncSuspects writes the records of queries that have crashed several targets and have changed, and deletes those of all others. A failure
 // other than the loss of the leadership is retried at the next tick.
 func (t *term) syncSuspects(ctx context.Context) error {
 	if t.fleet.suspects.Empty() && len(t.storedSuspects) == 0 {
@@ -165,9 +165,9 @@
 	changes.Expect = map[string]uint64{leaderKey: t.revision}
 	next = maps.Clone(t.storedSuspects)
 	full := func() bool { return len(changes.Puts)+len(changes.Deletes)+1 >= MaxChanges }
-	blocked := make(map[suspect.Fingerprint]bool)
-	for _, record := range t.fleet.suspects.BlockedRecords(t.timers.Now()) {
-		blocked[record.Fingerprint] = true
+	strong := make(map[suspect.Fingerprint]bool)
+	for _, record := range t.fleet.suspects.StrongRecords(t.timers.Now()) {
+		strong[record.Fingerprint] = true
 		stored := newStoredSuspect(&record)
 		if old, ok := next[record.Fingerprint]; ok && old == stored || full() {
 			continue
@@ -178,7 +178,7 @@
 		next[record.Fingerprint] = stored
 	}
 	for fingerprint := range t.storedSuspects {
-		if !blocked[fingerprint] && !full() {
+		if !strong[fingerprint] && !full() {
 			changes.Deletes = append(changes.Deletes, suspectPrefix+fingerprint.String())
 			delete(next, fingerprint)
 		}
--- a/internal/tier/control/suspects_test.go
+++ b/internal/tier/control/suspects_test.go
@@ -81,6 +81,21 @@
 		f.expectBlocked(query, "5s")
 	})
 
+	It("is not forgotten when all instances are restarted at once before it is blocked", func() {
+		f := newFollowingFleet(names(5)...)
+		leader := f.settle()
+		for n := range 3 {
+			f.instances[leader].suspects.RecordCrash(query, suspect.Crash{Process: fmt.Sprintf("p%d", n)}, time.Now())
+		}
+		f.expectStored(query)
+		for _, i := range f.all() {
+			f.kill(i.name)
+		}
+		f.start("new")
+		Eventually(func() quarantine.Mode { return f.instances["new"].suspects.Verdict(query, time.Now()).Mode }, "5s", "10ms").
+			Should(Equal(quarantine.Careful))
+	})
+
 	It("is known to all once a leader is followed, if it was seen while there was none", func() {
 		f := newFollowingFleet(names(6)...)
 		f.kill(f.settle())
