control: tell all instances directly of queries that have crashed several targets

What callers saw: when the leader is lost or frozen at the moment at which a query crashes targets, only the instances that gathered it know.

Cause: what instances observe reached the others through the leader alone. Class: one instance on which the spread of an alarm depends.

Change: an instance that observes that a query has crashed three targets or more tells all others as well, at most each 50 ms. Records merge in any order, so it does not matter who is first. Queries that are lost with others rarely have three crashes, so that a failure of targets causes no such messages.

Evidence: 'is known to all before the lease of a lost leader has ended', 8 and 195 instances, fails without the call.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -356,6 +356,17 @@
 	})
 }
 
+// ObservedStrong returns those of the StrongRecords that this instance has changed itself after a cursor, and the next cursor.
+func (l *List) ObservedStrong(after uint64, now time.Time) (records []suspect.Record, next uint64) {
+	return l.since(after, now, func(r *record) uint64 {
+		if !r.strong() {
+			return 0
+		}
+
+		return r.observed
+	})
+}
+
 // Changed returns the records that have changed after a cursor, and the next cursor.
 func (l *List) Changed(after uint64, now time.Time) (records []suspect.Record, next uint64) {
 	return l.since(after, now, func(r *record) uint64 { return r.changed })
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -18,6 +18,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/route"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 // applyBound is the time within which a change of the configuration has to be in force on all instances that reach the store.
@@ -267,6 +268,20 @@
 	}
 }
 
+// spreadSuspects returns the function by which an instance passes records to others directly.
+func (f *followingFleet) spreadSuspects(from *followingInstance) func(context.Context, []control.Instance, []suspect.Record) {
+	return func(_ context.Context, instances []control.Instance, records []suspect.Record) {
+		for _, known := range instances {
+			f.mu.Lock()
+			to := f.instances[known.Name]
+			f.mu.Unlock()
+			if to != nil && to != from && to.isolated.Load() == from.isolated.Load() && !to.silenced.Load() && !from.silenced.Load() {
+				to.fleet.Feed().ReportSuspects(records)
+			}
+		}
+	}
+}
+
 // reportLeaving passes on which targets an instance reports as leaving to the leader, until ctx is done.
 func (f *followingFleet) reportLeaving(ctx context.Context, i, leader *followingInstance, r *control.FollowRequest) {
 	for ctx.Err() == nil {
@@ -314,8 +329,9 @@
 	f.mu.Lock()
 	f.instances[name], f.byAddress[address] = i, i
 	f.mu.Unlock()
+	spread := func(ctx context.Context) error { return i.fleet.SpreadSuspects(ctx, f.spreadSuspects(i)) }
 	for _, run := range []func(context.Context) error{
-		i.fleet.Run, i.fleet.Register, i.fleet.Watch, leadership.Run, i.configuration.Run,
+		spread, i.fleet.Run, i.fleet.Register, i.fleet.Watch, leadership.Run, i.configuration.Run,
 	} {
 		go func() { _ = run(ctx) }()
 	}
--- a/internal/tier/control/suspects.go
+++ b/internal/tier/control/suspects.go
@@ -20,6 +20,9 @@
 	// suspectRefreshInterval is the interval at which the leader passes on all records again, because an instance that follows it later
 	// receives them with the time left of when they were passed on.
 	suspectRefreshInterval = time.Minute
+	// suspectSpreadInterval is the shortest time between two messages to another instance about such queries, so that the crashes of a
+	// first round share a few.
+	suspectSpreadInterval = 50 * time.Millisecond
 )
 
 // WithSuspects makes the fleet exchange the records of list.
@@ -46,6 +49,31 @@
 	return records, next, changed
 }
 
+// SpreadSuspects passes the records of queries that have crashed several targets, as this instance observes them, to send, until ctx is done.
+// The other instances get them from this one as well as from the leader, because the leader may be lost or frozen at that moment.
+func (f *Fleet) SpreadSuspects(ctx context.Context, send func(ctx context.Context, to []Instance, records []suspect.Record)) error {
+	for cursor := uint64(0); ; {
+		f.mu.Lock()
+		changed := f.suspectsChanged
+		f.mu.Unlock()
+		records, next := f.suspects.ObservedStrong(cursor, f.timers.Now())
+		cursor = next
+		if len(records) > 0 {
+			send(ctx, f.View().Instances, records)
+		}
+		select {
+		case <-f.timers.After(suspectSpreadInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // applySuspect merges an entry below suspectPrefix. An entry that is deleted has expired here as well.
 func (f *Fleet) applySuspect(e *Entry) {
 	if record, ok := decodeEntry[suspect.Record](f.log, e); ok {
--- a/internal/tier/control/suspects_test.go
+++ b/internal/tier/control/suspects_test.go
@@ -106,6 +106,19 @@
 		f.expectBlocked(query, "5s")
 	})
 
+	DescribeTable("is known to all before the lease of a lost leader has ended", func(instances int) {
+		f := newFollowingFleet(names(instances)...)
+		f.kill(f.settle())
+		observer := f.all()[0]
+		for n := range 3 {
+			crashAt(observer, n)
+		}
+		f.expectBlocked(query, "1s")
+	},
+		Entry("8 instances", 8),
+		Entry("195 instances", 195),
+	)
+
 	DescribeTable("is tried by one instance of the fleet, and by none without contact to the leader", func(instances int) {
 		f := newFollowingFleet(names(instances)...)
 		leader := f.settle()
--- a/internal/tier/node/fleet.go
+++ b/internal/tier/node/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 	"github.com/hickorynotch/hickorynotch/internal/world/route"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 const (
@@ -24,7 +25,7 @@
 	// gathererHeadroom is added to the number of instances among which the connections to a target are divided, because further
 	// gatherers may open connections before all instances have recalculated their limits.
 	gathererHeadroom = 1
-	// maxConcurrentNotices limits the number of notices that are sent concurrently.
+	// maxConcurrentNotices limits the number of notices, or other messages to all instances, that are sent concurrently.
 	maxConcurrentNotices = 32
 	// instanceHeadroom is added to the number of instances among which the retry allowance is divided, because further instances
 	// may start before all have recalculated their part.
@@ -248,16 +249,27 @@
 
 // broadcastNotice sends a notice from this instance, the leader, to the other instances that do not follow it.
 func (n *Node) broadcastNotice(ctx context.Context, notice control.Notice) {
+	to := slices.DeleteFunc(n.members.View().Instances, func(i control.Instance) bool { return n.members.Feed().Follows(i.Name) })
+	n.broadcast(to, func(i *control.Instance) error { return n.peerClient.Notice(ctx, i.Peer, notice) })
+}
+
+// sendSuspects sends what this instance has observed of queries that seem to crash targets to other instances.
+func (n *Node) sendSuspects(ctx context.Context, to []control.Instance, records []suspect.Record) {
+	n.broadcast(to, func(i *control.Instance) error { return n.peerClient.Suspects(ctx, i.Peer, records) })
+}
+
+// broadcast sends a message to other instances, to some of them at a time.
+func (n *Node) broadcast(to []control.Instance, send func(i *control.Instance) error) {
 	slots := make(chan struct{}, maxConcurrentNotices)
 	var pending sync.WaitGroup
-	for _, i := range n.members.View().Instances {
-		if i.Name == n.settings.Name || n.members.Feed().Follows(i.Name) {
+	for _, i := range to {
+		if i.Name == n.settings.Name {
 			continue
 		}
 		slots <- struct{}{}
 		pending.Go(func() {
 			defer func() { <-slots }()
-			if err := n.peerClient.Notice(ctx, i.Peer, notice); err != nil {
+			if err := send(&i); err != nil {
 				n.log.Log(event.NoticeFailed, "Instance", i.Name, "Error", err)
 			}
 		})
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -323,6 +323,7 @@
 	supervisor.Add(service{"registration", n.register})
 	supervisor.Add(service{"callers", n.callerConnections.Run})
 	supervisor.Add(service{"limits", n.reportLimits})
+	supervisor.Add(service{"suspects", func(ctx context.Context) error { return n.members.SpreadSuspects(ctx, n.sendSuspects) }})
 	supervisor.Add(service{"connections", func(ctx context.Context) error {
 		return n.targetPool.KeepWarm(ctx, n.wantsIdleConnections)
 	}})
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -14,6 +14,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
+	"github.com/hickorynotch/hickorynotch/internal/world/suspect"
 )
 
 const (
@@ -184,7 +185,18 @@
 }
 
 // Notice sends a notice of the leader to the peer at address.
-func (c *Client) Notice(ctx context.Context, address netip.AddrPort, n control.Notice) (err error) {
+func (c *Client) Notice(ctx context.Context, address netip.AddrPort, n control.Notice) error {
+	return c.invoke(ctx, address, rpcNotice,
+		&NoticeRequest{Leader: n.Leader, Name: n.Name, Peer: n.Peer, Version: n.Version, Mirror: n.Mirror}, &NoticeResponse{})
+}
+
+// Suspects sends what this instance has observed of queries that seem to crash targets to the peer at address.
+func (c *Client) Suspects(ctx context.Context, address netip.AddrPort, records []suspect.Record) error {
+	return c.invoke(ctx, address, rpcSuspects, &SuspectsRequest{Records: newSuspectRecords(records)}, &SuspectsResponse{})
+}
+
+// invoke makes a call with one request and one response.
+func (c *Client) invoke(ctx context.Context, address netip.AddrPort, rpc string, request, response any) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 
 	ctx, cancel := c.timers.WithTimeout(ctx, noticeTimeout)
@@ -193,9 +205,7 @@
 	if err != nil {
 		return err
 	}
-	err = conn.drpcConn.Invoke(ctx, rpcNotice, encoding{},
-		&NoticeRequest{Leader: n.Leader, Name: n.Name, Peer: n.Peer, Version: n.Version, Mirror: n.Mirror}, &NoticeResponse{})
-	if err != nil {
+	if err = conn.drpcConn.Invoke(ctx, rpc, encoding{}, request, response); err != nil {
 		err = errors.Join(ErrNotAccepted, err)
 	}
 	c.release(address, conn, err)
--- a/internal/tier/peer/follow.go
+++ b/internal/tier/peer/follow.go
@@ -103,13 +103,21 @@
 			return fmt.Errorf("field Reports, element %d: %w", i, err)
 		}
 	}
-	if len(a.Suspects) > maxEntries || len(a.Leaving) > maxEntries {
-		return fmt.Errorf("fields Suspects, Leaving: %d, %d, at most %d each", len(a.Suspects), len(a.Leaving), maxEntries)
+	if len(a.Leaving) > maxEntries {
+		return fmt.Errorf("field Leaving: %d, at most %d", len(a.Leaving), maxEntries)
 	}
-	for i := range a.Suspects {
-		record := a.Suspects[i].toSuspect()
+
+	return checkSuspects(a.Suspects)
+}
+
+func checkSuspects(records []suspectRecord) error {
+	if len(records) > maxEntries {
+		return fmt.Errorf("%d records of suspects, at most %d", len(records), maxEntries)
+	}
+	for i := range records {
+		record := records[i].toSuspect()
 		if err := record.Check(); err != nil {
-			return fmt.Errorf("field Suspects, element %d: %w", i, err)
+			return fmt.Errorf("record %d of suspects: %w", i, err)
 		}
 	}
 
@@ -162,13 +170,20 @@
 	return record
 }
 
-func newSuspectAck(records []suspect.Record) *FollowAck {
-	ack := &FollowAck{}
+func newSuspectRecords(records []suspect.Record) (carried []suspectRecord) {
 	for i := range records {
-		ack.Suspects = append(ack.Suspects, newSuspectRecord(&records[i]))
+		carried = append(carried, newSuspectRecord(&records[i]))
 	}
 
-	return ack
+	return carried
+}
+
+func toSuspects(carried []suspectRecord) (records []suspect.Record) {
+	for i := range carried {
+		records = append(records, carried[i].toSuspect())
+	}
+
+	return records
 }
 
 func newLeavingAck(targets []*directory.Target) *FollowAck {
@@ -423,7 +438,7 @@
 		records, next, changed := s.request.Suspects(cursor)
 		cursor = next
 		if len(records) > 0 {
-			if err := s.send(newSuspectAck(records)); err != nil {
+			if err := s.send(&FollowAck{Suspects: newSuspectRecords(records)}); err != nil {
 				// The session ends.
 				return
 			}
@@ -500,11 +515,7 @@
 func (s *Server) receiveAck(instance string, ack *FollowAck) {
 	switch {
 	case len(ack.Suspects) > 0:
-		records := make([]suspect.Record, 0, len(ack.Suspects))
-		for i := range ack.Suspects {
-			records = append(records, ack.Suspects[i].toSuspect())
-		}
-		s.onSuspects(records)
+		s.onSuspects(toSuspects(ack.Suspects))
 	case len(ack.Leaving) > 0:
 		targets := make([]*directory.Target, 0, len(ack.Leaving))
 		for _, leaving := range ack.Leaving {
--- a/internal/tier/peer/follow_test.go
+++ b/internal/tier/peer/follow_test.go
@@ -105,6 +105,16 @@
 		Eventually(received, "1s").Should(Receive(Equal(records)))
 	})
 
+	It("carries what any instance observes of queries that crash targets unchanged, without a session", func() {
+		records := []suspect.Record{{
+			Fingerprint: suspect.NewFingerprint([]byte("a")), Epoch: 2, Crashes: []suspect.Crash{{Process: "i-1@7", Alone: true}, {Process: "i-2"}},
+		}}
+		received := make(chan []suspect.Record, 1)
+		address := serveFollowers(nil, peer.OnSuspects(func(r []suspect.Record) { received <- r }))
+		Expect(client.Suspects(context.Background(), address, records)).To(Succeed())
+		Expect(received).To(Receive(Equal(records)))
+	})
+
 	It("carries which targets leave, and the start times of their processes, without waiting for an update", func() {
 		targets := []*directory.Target{{ID: "i-1", Started: time.UnixMilli(1700000000123)}, {ID: "i-2"}}
 		received := make(chan []*directory.Target, 1)
--- a/internal/tier/peer/fuzz_test.go
+++ b/internal/tier/peer/fuzz_test.go
@@ -12,13 +12,15 @@
 
 // FuzzMessageIsRejectedOrValid feeds the decoders of all messages with whatever a peer may send.
 func FuzzMessageIsRejectedOrValid(f *testing.F) {
+	suspects := []suspect.Record{{Fingerprint: suspect.Fingerprint{1}, Crashes: []suspect.Crash{{Process: "p"}}}}
 	for _, message := range []any{
 		&GatherRequest{RequestID: "r", Route: "g", Version: 7, Method: "GET", Head: []byte("GET / HTTP/1.1\r\n"), Left: time.Second},
 		&GatherAccepted{Version: 7, Active: 1},
 		&GatherAnswer{Status: "Answered", Stamps: []string{"s"}, Records: make([]byte, 16)},
 		&NoticeRequest{Leader: 7, Name: "a"},
 		&FollowRequest{Name: "a", AvailabilityZone: "z", Processor: 1},
-		newSuspectAck([]suspect.Record{{Fingerprint: suspect.Fingerprint{1}, Crashes: []suspect.Crash{{Process: "p"}}}}),
+		&FollowAck{Suspects: newSuspectRecords(suspects)},
+		&SuspectsRequest{Records: newSuspectRecords(suspects)},
 		newLeavingAck([]*directory.Target{{ID: "i-1"}}),
 		&FollowUpdate{Term: 7, Changes: []byte{1, 2, 3}},
 	} {
@@ -37,7 +39,7 @@
 		if (encoding{}).Unmarshal(data, &answer) == nil && answer.Missing < 0 {
 			t.Fatalf("accepted answer %+v", answer)
 		}
-		for _, message := range []any{&GatherAccepted{}, &NoticeRequest{}, &FollowRequest{}, &FollowAck{}} {
+		for _, message := range []any{&GatherAccepted{}, &NoticeRequest{}, &FollowRequest{}, &FollowAck{}, &SuspectsRequest{}} {
 			_ = (encoding{}).Unmarshal(data, message)
 		}
 		var update FollowUpdate
--- a/internal/tier/peer/message.go
+++ b/internal/tier/peer/message.go
@@ -28,9 +28,10 @@
 
 // The RPC names.
 const (
-	rpcGather = "/hickorynotch.Tier/Gather"
-	rpcNotice = "/hickorynotch.Tier/Notice"
-	rpcFollow = "/hickorynotch.Tier/Follow"
+	rpcGather   = "/hickorynotch.Tier/Gather"
+	rpcNotice   = "/hickorynotch.Tier/Notice"
+	rpcFollow   = "/hickorynotch.Tier/Follow"
+	rpcSuspects = "/hickorynotch.Tier/Suspects"
 )
 
 const (
@@ -113,6 +114,20 @@
 	_ struct{} `cbor:",toarray"`
 }
 
+// SuspectsRequest carries what an instance has observed of queries that seem to crash targets.
+type SuspectsRequest struct {
+	_       struct{} `cbor:",toarray"`
+	Records []suspectRecord
+}
+
+// Check implements validator.
+func (r *SuspectsRequest) Check() error { return checkSuspects(r.Records) }
+
+// SuspectsResponse acknowledges a SuspectsRequest.
+type SuspectsResponse struct {
+	_ struct{} `cbor:",toarray"`
+}
+
 // Check implements validator.
 func (a *GatherAccepted) Check() error {
 	if a.Active < 0 {
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -115,6 +115,8 @@
 		return s.handleNotice(stream)
 	case rpcFollow:
 		return s.handleFollow(stream)
+	case rpcSuspects:
+		return s.handleSuspects(stream)
 	default:
 		return drpc.ProtocolError.New("call %q is not known", rpc)
 	}
@@ -132,6 +134,16 @@
 	return stream.MsgSend(&NoticeResponse{}, encoding{})
 }
 
+func (s *Server) handleSuspects(stream drpc.Stream) error {
+	var request SuspectsRequest
+	if err := stream.MsgRecv(&request, encoding{}); err != nil {
+		return err
+	}
+	s.onSuspects(toSuspects(request.Records))
+
+	return stream.MsgSend(&SuspectsResponse{}, encoding{})
+}
+
 func (s *Server) handleGather(stream drpc.Stream) error {
 	var request GatherRequest
 	if err := stream.MsgRecv(&request, encoding{}); err != nil {
