soak: a request that crashes the targets that run it

A request of one path now comes all the while, at random instances, beside all other faults. A target that runs it ends: its connections break, further ones are refused, and it is back after 2 s with another start time. At the end, 5 s after the faults, at most three of twelve arrivals may reach a target, and none may be refused as not run that has.

--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -39,13 +36,6 @@
 	lastDisturbance time.Time
 }
 
-// firstPort and portRange lie below the ephemeral ports of the kernel, so that no outgoing connection occupies the port of an
-// instance while it restarts.
-const (
-	firstPort = 20000
-	portRange = 12000
-)
-
 // loopbackAddress returns a loopback address that differs between the instances of this run and from those of concurrent runs.
 func loopbackAddress(instance int) netip.Addr {
 	pid := os.Getpid()
@@ -53,29 +43,6 @@
 	return netip.AddrFrom4([4]byte{127, byte(1 + pid/250%250), byte(1 + pid%250), byte(1 + instance)})
 }
 
-// freePorts returns n random ports of an address on which nothing listens.
-func freePorts(address netip.Addr, n int) (out []netip.AddrPort, err error) {
-	for tries := 0; len(out) < n && tries < portRange; tries++ {
-		port := netip.AddrPortFrom(address, uint16(firstPort+rand.IntN(portRange)))
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", port.String())
-		if err != nil {
-			continue
-		}
-		// A port that was found before is free again.
-		if !slices.Contains(out, port) {
-			out = append(out, port)
-		}
-		if err := l.Close(); err != nil {
-			return nil, err
-		}
-	}
-	if len(out) < n {
-		return nil, fmt.Errorf("found %d of %d free ports on %s", len(out), n, address)
-	}
-
-	return out, nil
-}
-
 // supervise starts the process, and restarts it whenever it exits, until stop is called.
 func (i *instance) supervise() {
 	for {
--- a/internal/proof/soak/proxy.go
+++ b/internal/proof/soak/proxy.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/standin/loopback"
 )
 
 // Mode is how a proxy treats the connections through it.
@@ -28,9 +30,10 @@
 
 // proxy forwards TCP connections to a target address and injects network faults according to its mode.
 type proxy struct {
-	listener net.Listener
+	listenAddress string
 
 	mu          sync.Mutex
+	listener    net.Listener // nil while connections are refused
 	target      string
 	mode        Mode
 	modeChanged chan struct{}
@@ -38,19 +41,46 @@
 }
 
 func newProxy(target string) (p *proxy, err error) {
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	// No other process can take the port while the proxy does not listen.
+	free, err := loopback.FreeAddresses(1)
 	if err != nil {
 		return nil, err
 	}
 	p = &proxy{
-		listener: listener, target: target, mode: Pass, modeChanged: make(chan struct{}), connections: make(map[net.Conn]struct{}),
+		listenAddress: free[0].String(), target: target, mode: Pass, modeChanged: make(chan struct{}),
+		connections: make(map[net.Conn]struct{}),
+	}
+
+	return p, p.listen()
+}
+
+func (p *proxy) address() string { return p.listenAddress }
+
+// listen accepts connections until close is called, if it does not already.
+func (p *proxy) listen() (err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	if p.listener, err = new(net.ListenConfig).Listen(context.Background(), "tcp", p.listenAddress); err != nil {
+		return err
 	}
-	go p.accept()
+	go p.accept(p.listener)
 
-	return p, nil
+	return nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+// close closes all connections and refuses further ones, as when the process behind the proxy has ended.
+func (p *proxy) close() {
+	p.mu.Lock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+	p.mu.Unlock()
+	p.setMode(Reset)
+}
 
 // setMode changes the mode. Reset closes the open connections with a TCP reset, and the mode is Pass afterwards.
 func (p *proxy) setMode(mode Mode) {
@@ -78,9 +108,9 @@
 	p.target = target
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		from, err := p.listener.Accept()
+		from, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/standin/loopback"
 	"github.com/hickorynotch/hickorynotch/internal/standin/memory"
 	"github.com/hickorynotch/hickorynotch/internal/standin/operator"
 	"github.com/hickorynotch/hickorynotch/internal/standin/replica"
@@ -70,6 +71,8 @@
 	if r.env, err = newEnvironment(); err != nil {
 		return err
 	}
+	// A target that starts again later could take the port of one of the next run.
+	defer r.env.crashes.restarts.Wait()
 	r.logf("seed %d, %v", settings.Seed, settings.Duration)
 	for i := range instances {
 		if err := r.startInstance(i); err != nil {
@@ -108,7 +111,7 @@
 
 // startInstance starts instance n behind one proxy to the store and one for the connections of its peers.
 func (r *soakRun) startInstance(n int) error {
-	ports, err := freePorts(loopbackAddress(n), 4)
+	ports, err := loopback.FreePorts(loopbackAddress(n), 4)
 	if err != nil {
 		return err
 	}
@@ -168,6 +171,9 @@
 			go newCaller(fmt.Sprintf("c%d-%d-%d", r.settings.Seed, n, k), i, r.checker, r.env.journal).run(ctx)
 		}
 	}
+	crashing, stopCrashing := context.WithCancel(ctx)
+	defer stopCrashing()
+	go r.sendCrashing(crashing)
 	end, lastHeartbeat := time.Now().Add(r.settings.Duration), time.Now()
 	for time.Now().Before(end) && ctx.Err() == nil {
 		r.runRandomEvent()
@@ -181,12 +187,14 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
+	stopCrashing()
 	r.clearFaults()
 	if !r.awaitReady(ctx, recoveryTimeout) {
 		r.checker.report("not all instances were ready %v after the faults", recoveryTimeout)
 	}
 	time.Sleep(time.Second)
 	r.checkRecovered(ctx)
+	r.checkCrashing(ctx)
 }
 
 // writeHeartbeats writes the entries of all targets again, as the heartbeats of the targets do.
--- a/internal/proof/soak/world.go
+++ b/internal/proof/soak/world.go
@@ -19,6 +19,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -57,6 +58,7 @@
 	index          int
 	targets        []*backend
 	targetsStarted int
+	crashes        crashes
 
 	mu sync.Mutex
 	// peerProxies has the proxies for connections between instances, by the real peer address that each one forwards to.
@@ -74,6 +76,8 @@
 	sequence int
 	draining bool
 	removed  bool
+	// restarted is when the process last started again after a request had crashed it, in Unix nanoseconds, 0 if none has.
+	restarted atomic.Int64
 }
 
 // listen serves handler on a free loopback port until the process exits.
@@ -148,8 +152,10 @@
 	if err != nil {
 		return err
 	}
-	e.targets = append(e.targets, &backend{replica: r, address: address, zone: zone, proxy: p})
-	e.registerTarget(e.targets[len(e.targets)-1])
+	b := &backend{replica: r, address: address, zone: zone, proxy: p}
+	r.OnCrash(func() { e.crashes.end(b) })
+	e.targets = append(e.targets, b)
+	e.registerTarget(b)
 
 	return nil
 }
@@ -159,7 +165,7 @@
 	b.sequence++
 	e.platform.Store().Put(operator.EntryKey(b.replica.ID), operator.Entry{
 		Service: b.replica.Service, Address: b.proxy.address(), AvailabilityZone: b.zone, Slots: slotsPerTarget,
-		Draining: b.draining, Sequence: b.sequence,
+		Draining: b.draining, Sequence: b.sequence, Started: b.restartedAt(),
 	}.Encode())
 }
 
--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -1,33 +1,51 @@
 // Package loopback provides addresses on which the processes of a test can listen.
 //
-// A port that was free a moment ago may be taken by another process before a process of the test listens on it. The addresses of this
-// package are therefore on an IP address of 127.0.0.0/8 that no other process uses:
+// A port that was free a moment ago may be taken by another process, or by an outgoing connection, before a process of the test listens
+// on it. The addresses of this package are therefore on an IP address of 127.0.0.0/8 that no other process uses, with ports below those
+// that the operating system chooses itself:
 //
 //	free, err := loopback.FreeAddresses(4)
 package loopback
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 )
 
-// FreeAddresses returns n distinct addresses on which nothing listens.
+// firstPort and portRange are the ports that are chosen from. They lie below the range of ephemeral ports on Linux.
+const (
+	firstPort = 20000
+	portRange = 12000
+)
+
+// FreeAddresses returns n distinct addresses on which nothing listens, on an IP address that only this process uses.
 func FreeAddresses(n int) (free []netip.AddrPort, err error) {
-	host := netip.AddrPortFrom(ownHost(os.Getpid()), 0).String()
-	for range n {
-		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", host)
+	return FreePorts(ownHost(os.Getpid()), n)
+}
+
+// FreePorts returns n distinct random ports of an address on which nothing listens.
+func FreePorts(host netip.Addr, n int) (free []netip.AddrPort, err error) {
+	for tries := 0; len(free) < n && tries < portRange; tries++ {
+		address := netip.AddrPortFrom(host, uint16(firstPort+rand.IntN(portRange)))
+		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address.String())
 		if err != nil {
-			return nil, err
+			continue
 		}
-		// The listeners stay open until all ports are chosen, so that none is chosen twice.
-		defer func() { _ = listener.Close() }()
-		address, err := netip.ParseAddrPort(listener.Addr().String())
-		if err != nil {
+		// A port that was chosen before is free again.
+		if !slices.Contains(free, address) {
+			free = append(free, address)
+		}
+		if err := listener.Close(); err != nil {
 			return nil, err
 		}
-		free = append(free, address)
+	}
+	if len(free) < n {
+		return nil, fmt.Errorf("found %d of %d free ports on %s", len(free), n, host)
 	}
 
 	return free, nil
--- a/internal/standin/operator/operator.go
+++ b/internal/standin/operator/operator.go
@@ -82,6 +82,8 @@
 	Slots            int
 	Draining         bool
 	Sequence         int
+	// Started is the start of the target's process, the zero time if the entry does not tell.
+	Started time.Time
 }
 
 // Encode returns the value of the entry in the store.
@@ -91,10 +93,15 @@
 		state = "draining"
 	}
 
-	return mustEncode(map[string]any{
+	entry := map[string]any{
 		"service": e.Service, "address": e.Address, "zone": e.AvailabilityZone, "version": "v1", "maxConcurrency": e.Slots,
 		"state": state, "warmupLeftMs": 0, "sequence": e.Sequence,
-	})
+	}
+	if !e.Started.IsZero() {
+		entry["born"] = e.Started.UnixMilli()
+	}
+
+	return mustEncode(entry)
 }
 
 // mustEncode returns value as JSON. It panics on a value that JSON cannot represent; this package has none.
--- a/internal/standin/replica/replica.go
+++ b/internal/standin/replica/replica.go
@@ -93,11 +93,18 @@
 	requests   atomic.Uint64
 	previousID atomic.Value // the ID of the previous request that was answered, for Cross
 	lastRun    atomic.Int64
+	onCrash    func()
 }
 
+// CrashSegment is the segment of a path that makes each target crash that runs the request.
+const CrashSegment = "/crash/"
+
+// OnCrash sets the function that is called when a request crashes the target. It must be set before the first request.
+func (r *Replica) OnCrash(onCrash func()) { r.onCrash = onCrash }
+
 // New returns a Replica without faults.
 func New(service, id string, journal *Journal) *Replica {
-	r := &Replica{Service: service, ID: id, journal: journal}
+	r := &Replica{Service: service, ID: id, journal: journal, onCrash: func() {}}
 	r.fault.Store(None)
 	r.previousID.Store("")
 
@@ -158,6 +165,9 @@
 	r.lastRun.Store(time.Now().UnixNano())
 	r.journal.record(id, Run{Service: r.Service, Target: r.ID, At: time.Now()})
 	switch {
+	case strings.Contains(request.URL.Path, CrashSegment):
+		r.onCrash()
+		panic(http.ErrAbortHandler)
 	case fault == Hang:
 		<-request.Context().Done()
 
