--- a/internal/proof/soak/crash.go
+++ b/internal/proof/soak/crash.go
@@ -18,6 +18,9 @@
 	crashInterval = 700 * time.Millisecond
 	// restartTime is the time after which a target that has crashed is back.
 	restartTime = 2 * time.Second
+	// listenTries and listenRetryDelay bound the time for which it then tries to listen.
+	listenTries      = 20
+	listenRetryDelay = 50 * time.Millisecond
 	// crashesToBlock is the number of crashed targets after which the request may reach maxLateArrivals more, once stableTime has passed.
 	crashesToBlock  = 3
 	stableTime      = 5 * time.Second
@@ -58,7 +61,13 @@
 		b.proxy.close()
 		time.Sleep(restartTime)
 		b.restarted.Store(time.Now().UnixNano())
-		if err := b.proxy.listen(); err != nil {
+		// The port may stay in use for a moment after it was closed.
+		err := b.proxy.listen()
+		for tries := 0; err != nil && tries < listenTries; tries++ {
+			time.Sleep(listenRetryDelay)
+			err = b.proxy.listen()
+		}
+		if err != nil {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.failures = append(c.failures, err)
--- a/internal/proof/soak/proxy.go
+++ b/internal/proof/soak/proxy.go
@@ -42,21 +42,22 @@
 
 func newProxy(target string) (p *proxy, err error) {
 	// No other process can take the port while the proxy does not listen.
-	free, err := loopback.FreeAddresses(1)
+	listener, err := loopback.Listen()
 	if err != nil {
 		return nil, err
 	}
 	p = &proxy{
-		listenAddress: free[0].String(), target: target, mode: Pass, modeChanged: make(chan struct{}),
+		listenAddress: listener.Addr().String(), listener: listener, target: target, mode: Pass, modeChanged: make(chan struct{}),
 		connections: make(map[net.Conn]struct{}),
 	}
+	go p.accept(listener)
 
-	return p, p.listen()
+	return p, nil
 }
 
 func (p *proxy) address() string { return p.listenAddress }
 
-// listen accepts connections until close is called, if it does not already.
+// listen accepts connections again after close was called.
 func (p *proxy) listen() (err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -28,11 +28,29 @@
 	return FreePorts(ownHost(os.Getpid()), n)
 }
 
+// Listen listens on a random port of an IP address that only this process uses.
+func Listen() (listener net.Listener, err error) {
+	for range portRange {
+		listener, _, err = listenOnRandomPort(ownHost(os.Getpid()))
+		if err == nil {
+			return listener, nil
+		}
+	}
+
+	return nil, err
+}
+
+func listenOnRandomPort(host netip.Addr) (listener net.Listener, address netip.AddrPort, err error) {
+	address = netip.AddrPortFrom(host, uint16(firstPort+rand.IntN(portRange)))
+	listener, err = new(net.ListenConfig).Listen(context.Background(), "tcp", address.String())
+
+	return listener, address, err
+}
+
 // FreePorts returns n distinct random ports of an address on which nothing listens.
 func FreePorts(host netip.Addr, n int) (free []netip.AddrPort, err error) {
 	for tries := 0; len(free) < n && tries < portRange; tries++ {
-		address := netip.AddrPortFrom(host, uint16(firstPort+rand.IntN(portRange)))
-		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address.String())
+		listener, address, err := listenOnRandomPort(host)
 		if err != nil {
 			continue
 		}
