--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -316,8 +316,8 @@
 	return stored, err
 }
 
-// refreshOnceOverdue ends a long poll once a change may be overdue. The leader never gets that far, because it reads the configuration each
-// second. For other instances that read the store themselves, a connection that nothing arrives on looks like a store without changes.
+// refreshOnceOverdue ends a long poll once a change may be overdue. To an instance that reads the store itself, a dead connection looks like
+// a store without changes. The leader's long polls are never ended, because it also reads the configuration each second.
 func (c *Configuration) refreshOnceOverdue(ctx context.Context) {
 	for {
 		select {
--- a/internal/tier/control/confirmation_test.go
+++ b/internal/tier/control/confirmation_test.go
@@ -60,7 +60,7 @@
 	})
 })
 
-var _ = Describe("A change of the configuration that the long poll does not hear of", func() {
+var _ = Describe("A change of the configuration that a long poll does not report", func() {
 	It("is in force within the bound on an instance that cannot reach the leader", func() {
 		f := newFollowingFleet(names(8)...)
 		leader := f.settle()
--- a/internal/tier/control/suspects.go
+++ b/internal/tier/control/suspects.go
@@ -20,8 +20,8 @@
 	// suspectRefreshInterval is the interval at which the leader passes on all records again, because an instance that follows it later
 	// receives them with the time left of when they were passed on.
 	suspectRefreshInterval = time.Minute
-	// suspectSpreadInterval is the shortest time between two messages to another instance about such queries, so that the crashes of a
-	// first round share a few.
+	// suspectSpreadInterval is the shortest time between two such messages to the same instance. The crashes of one query follow each
+	// other closely.
 	suspectSpreadInterval = 50 * time.Millisecond
 )
 
@@ -49,8 +49,8 @@
 	return records, next, changed
 }
 
-// SpreadSuspects passes the records of queries that have crashed several targets, as this instance observes them, to send, until ctx is done.
-// The other instances get them from this one as well as from the leader, because the leader may be lost or frozen at that moment.
+// SpreadSuspects calls send with the records of queries that this instance has seen crash several targets, until ctx is done. The leader
+// passes them on as well, but it may be lost or frozen at that moment.
 func (f *Fleet) SpreadSuspects(ctx context.Context, send func(ctx context.Context, to []Instance, records []suspect.Record)) error {
 	for cursor := uint64(0); ; {
 		f.mu.Lock()
--- a/internal/tier/dispatch/crash_test.go
+++ b/internal/tier/dispatch/crash_test.go
@@ -157,7 +157,7 @@
 		}
 	})
 
-	It("does not end the replicas that another such query has left as the last of their shards", func() {
+	It("does not crash the last replica of each shard after another such query has crashed the other replicas", func() {
 		var ended crashes
 		backends, shards := ended.shards(10, 2, 0)
 		d := newDispatcher(options{allowance: 100}, backends...)
@@ -172,7 +172,7 @@
 		}
 	})
 
-	It("does not keep the last replicas from another query whose other shards do not answer", func() {
+	It("does not keep other queries from the last replicas if the remaining shards do not answer", func() {
 		var ended crashes
 		backends, shards := ended.shards(3, 2, 0)
 		backends, shards = append(backends, newBackend("silent", "silent", hang)), append(shards, "silent")
@@ -184,7 +184,7 @@
 		Expect(d.Gather(context.Background(), query(gatherRoute(0.5, shards...)))).To(HaveField("Status", dispatch.Answered))
 	})
 
-	It("is suspected for all replicas that it ends, also those that end after the peer that asked for the shards has given up", func() {
+	It("is blamed for all replicas that it crashes, also for those that end after the gatherer has cancelled the subset", func() {
 		var ended crashes
 		backends, shards := ended.shards(5, 2, 0)
 		ended.delay = 30 * time.Millisecond
@@ -197,7 +197,7 @@
 		Eventually(func() int { return len(d.Suspicion(crashing(shards...)).Crashes) }, "2s").Should(Equal(5))
 	})
 
-	It("fails no sooner than other instances can know of it, because its caller may send it to one of them at once", func() {
+	It("is answered only after other instances can know of the crashes, because its caller may retry at one of them", func() {
 		var ended crashes
 		backends, shards := ended.shards(10, 2, 0)
 		d := newDispatcher(options{allowance: 100}, backends...)
--- a/internal/tier/dispatch/replica.go
+++ b/internal/tier/dispatch/replica.go
@@ -56,8 +56,8 @@
 	return r, ok
 }
 
-// loadReplicas sets links and facts to the replicas of a service. One that a query has just crashed, as any instance has seen, is chosen
-// last.
+// loadReplicas sets links and facts to the replicas of a service. A replica that a query has just crashed, as seen by any instance, counts
+// as failing.
 func (q *activeQuery) loadReplicas(service string, now time.Time) {
 	q.links, q.facts = q.d.pool.Links(q.links[:0], service), q.facts[:0]
 	for _, l := range q.links {
--- a/internal/tier/dispatch/suspicion.go
+++ b/internal/tier/dispatch/suspicion.go
@@ -34,7 +34,7 @@
 	// careful is set while the query is sent to one target at a time. held are the subrequests that wait for an answer to another one.
 	careful bool
 	held    []int
-	// sparing is set if holdEndangered has made subrequests wait, and endangeredAt is when the next one of them is sent.
+	// sparing is set if holdEndangered has held back subrequests, and endangeredAt is when the next one of them is sent.
 	sparing      bool
 	endangeredAt time.Time
 	// verdict is the one with which the query began.
@@ -112,8 +112,8 @@
 	}
 }
 
-// holdEndangered makes the subrequests wait that could end the last replica of a shard because other queries have just crashed the others
-// of it. They are sent once a target has answered the query. At least one subrequest of this instance is sent at once.
+// holdEndangered holds back the subrequests that could crash the last replica of a shard, because other queries have just crashed its other
+// replicas. They are sent once a target has answered the query. At least one subrequest of this instance is sent at once.
 func (q *activeQuery) holdEndangered(now time.Time) {
 	if q.forwarded || !q.d.suspects.AnyLost(now) {
 		return
@@ -125,7 +125,7 @@
 		}
 	}
 	if len(endangered) == len(q.subrequests) {
-		// Each peer would send one subrequest at once.
+		// Otherwise each peer would also send one subrequest at once.
 		q.groups = nil
 	}
 	grouped := q.grouped()
@@ -141,15 +141,15 @@
 	q.expectAnswer(now)
 }
 
-// endangeredWaits reports whether subrequests wait because of holdEndangered.
+// endangeredWaits reports whether subrequests are held back by holdEndangered.
 func (q *activeQuery) endangeredWaits() bool { return !q.careful && !q.answered && len(q.held) > 0 }
 
-// endangeredDue reports whether the subrequests of which holdEndangered made others wait should have been answered by now.
+// endangeredDue reports whether the answer that the held subrequests wait for is late.
 func (q *activeQuery) endangeredDue(now time.Time) bool {
 	return q.endangeredWaits() && !now.Before(q.endangeredAt)
 }
 
-// startNextEndangered sends one of the subrequests that wait because of holdEndangered, although no target has answered the query yet.
+// startNextEndangered sends one of the subrequests that holdEndangered has held back, although no target has answered the query yet.
 func (q *activeQuery) startNextEndangered(now time.Time) {
 	if !q.endangeredWaits() {
 		return
@@ -159,12 +159,12 @@
 	q.startHeld(i, now)
 }
 
-// expectAnswer sets the time until which the subrequests that wait do so for an answer to those that were sent.
+// expectAnswer sets the time after which the next held subrequest is sent even without an answer.
 func (q *activeQuery) expectAnswer(now time.Time) {
 	q.endangeredAt = now.Add(max(q.d.responseTimeP90(q.request.Route.Name), hedgeRetryDelay))
 }
 
-// takeFastestHeld removes from the subrequests that wait the one that is likely to be answered first, and returns it.
+// takeFastestHeld removes the held subrequest that is likely to be answered first, and returns it.
 func (q *activeQuery) takeFastestHeld(now time.Time) (fastest int) {
 	position, lowest := 0, time.Duration(0)
 	for k, i := range q.held {
@@ -210,7 +210,7 @@
 
 		return
 	}
-	// It is computed here because collectCrashes may still need it when the caller owns the request again.
+	// collectCrashes may need the fingerprint after the caller has got the request back.
 	q.request.fingerprint()
 	spread := q.d.timers.After(spreadTime)
 	go func() {
@@ -303,8 +303,8 @@
 	}
 }
 
-// mustSpare reports whether the query, once it is sent with care, must not end the last replica of a shard: it was a suspect before, or
-// holdEndangered has made subrequests wait.
+// mustSpare reports whether the query, once it is sent with care, must not crash the last replica of a shard: it was a suspect before, or
+// holdEndangered has held back subrequests.
 func (q *activeQuery) mustSpare() bool { return q.sparing || q.verdict.Mode == quarantine.Careful }
 
 // sparesReplica reports whether a replica of the subrequest's service is left if the query crashes one. A service without a replica that has
