soak: end the instances of a run that could not start all of them

Two runs whose proxies could not listen left one to two instances behind, which I ended by their ids: the clean-up was registered only once all instances had started.

--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -74,16 +74,16 @@
 	// A target that starts again later could take the port of one of the next run.
 	defer r.env.crashes.restarts.Wait()
 	r.logf("seed %d, %v", settings.Seed, settings.Duration)
-	for i := range instances {
-		if err := r.startInstance(i); err != nil {
-			return err
-		}
-	}
 	defer func() {
 		for _, i := range r.instances {
 			i.stop()
 		}
 	}()
+	for i := range instances {
+		if err := r.startInstance(i); err != nil {
+			return err
+		}
+	}
 	if !r.awaitReady(ctx, startTimeout) {
 		return fmt.Errorf("not all instances were ready after %v", startTimeout)
 	}
