--- a/internal/decision/absence/absence.go
+++ b/internal/decision/absence/absence.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// GiveBack ends a request that Take has counted.
+// GiveBack records the end of a request that Take has counted.
 func (s *State) GiveBack() { s.taken = max(s.taken-1, 0) }
 
 // Refused records that the target wants no requests until a time. It reports whether that is later than what the target has named before,
@@ -65,7 +65,7 @@
 	return true, began
 }
 
-// Succeeded records a success of the target, which lets one that has come back get more requests.
+// Succeeded records a success of the target. One that has come back may then get more requests.
 func (s *State) Succeeded(now time.Time) {
 	if s.allowed == 0 || s.Away(now) {
 		return
--- a/internal/decision/quarantine/loss.go
+++ b/internal/decision/quarantine/loss.go
@@ -16,7 +16,7 @@
 
 // losses are the processes that count as lost.
 type losses struct {
-	// over is when the last of them does not count any more, in Unix nanoseconds.
+	// over is the time from which none of them counts as lost, in Unix nanoseconds.
 	over      atomic.Int64
 	byProcess map[string]loss
 }
--- a/internal/emulator/replay/world.go
+++ b/internal/emulator/replay/world.go
@@ -149,7 +149,8 @@
 	return f
 }
 
-// wantsRequests reports whether the replica takes requests of the instance, as far as the policy goes by what replicas say of themselves.
+// wantsRequests reports whether the instance may send the replica a request, by what the replica has said of itself. Mechanisms that are off
+// are ignored.
 func (s *replicaState) wantsRequests(policy *Policy, now time.Duration) bool {
 	return (policy.Off.Has(Leaving) || !s.leaving) && (policy.Off.Has(Absence) || s.absence.Wait(epoch.Add(now)) == 0)
 }
