--- a/review/standins/forged_test.go
+++ b/review/standins/forged_test.go
@@ -71,14 +71,3 @@
 
 	return broken, nil
 }
-
-// busiest returns the replica of a zone at which most requests have arrived.
-func busiest(replicas []*replica, zone string, arrivals map[*replica]int) (most *replica) {
-	for _, r := range replicas {
-		if r.zone == zone && (most == nil || arrivals[r] > arrivals[most]) {
-			most = r
-		}
-	}
-
-	return most
-}
--- a/review/standins/replica_test.go
+++ b/review/standins/replica_test.go
@@ -355,3 +355,14 @@
 
 	return bytes.Repeat([]byte(id), size/len(id)+1)[:size]
 }
+
+// busiest returns the replica of a zone that has the highest count.
+func busiest(replicas []*replica, zone string, counts map[*replica]int) (most *replica) {
+	for _, r := range replicas {
+		if r.zone == zone && (most == nil || counts[r] > counts[most]) {
+			most = r
+		}
+	}
+
+	return most
+}
--- a/review/standins/spoiled_test.go
+++ b/review/standins/spoiled_test.go
@@ -13,20 +13,24 @@
 
 func init() { cases["spoiled"] = playSpoiled }
 
-// playSpoiled sends requests that may run once at most. With trouble, half of the replicas spoil two in a hundred of their answers: the
-// body has a Content-Encoding. The rule is broken if a client gets a success with a body that isn't the replica's whole body.
+// playSpoiled sends requests that may run once at most. With trouble, three of seven replicas, the busiest of each zone, spoil two in a
+// hundred of their answers from the fifth second on: the body has a Content-Encoding. The rule is broken if a client gets a success with a
+// body that isn't the replica's whole body.
 func playSpoiled(s *site) (broken []string, err error) {
 	var mu sync.Mutex
-	answers := make(map[string][]byte)
-	if err := s.startLotDesk("non_idempotent", 6000, func(k int, r *replica) {
-		r.faulty = s.trouble && k%2 == 1
-		r.ran = func(_ *replica, id string, answer []byte) {
+	answers, runs, faulty := make(map[string][]byte), make(map[*replica]int), make(map[*replica]bool)
+	if err := s.startLotDesk("non_idempotent", 6000, func(_ int, r *replica) {
+		r.ran = func(r *replica, id string, answer []byte) {
 			mu.Lock()
 			defer mu.Unlock()
 			answers[id] = answer
+			runs[r]++
 		}
 		r.spoil = func(r *replica, id string, answer []byte, w *bufio.Writer) bool {
-			if !r.faulty || rand.Float64() >= 0.02 {
+			mu.Lock()
+			spoils := faulty[r] && rand.Float64() < 0.02
+			mu.Unlock()
+			if !spoils {
 				return false
 			}
 			var spoiled bytes.Buffer
@@ -41,6 +45,17 @@
 	}); err != nil {
 		return nil, err
 	}
+	if s.trouble {
+		time.AfterFunc(5*time.Second, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			for _, zone := range zones {
+				r := busiest(s.replicas, zone, runs)
+				faulty[r] = true
+				s.record.line("replica %s begins to spoil answers", r.id)
+			}
+		})
+	}
 	s.traffic(40, 30*time.Second, onceRequest, func(q clientRequest, a clientAnswer) {
 		mu.Lock()
 		defer mu.Unlock()
