--- a/review/standins/body_test.go
+++ b/review/body_test.go
@@ -1,4 +1,4 @@
-package standins
+package review
 
 import (
 	"fmt"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts in the folders beside it start, into review/.bin/. Needs no network.
+# Builds review/site, the program with the stand-ins that all scripts in the folders beside it start. Needs no network.
 set -euo pipefail
-cd "$(dirname "$0")/standins"
+cd "$(dirname "$0")"
 
-go test -c -o ../.bin/site .
+go test -c -o site .
--- a/review/standins/site_test.go
+++ b/review/site_test.go
@@ -1,7 +1,7 @@
-// Package standins plays one case of the review on a small deployment. The instances run as processes of their own, with the command of
+// Package review plays one case of the review on a small deployment. The instances run as processes of their own, with the command of
 // the deploy file; the store, the replicas, the clients and the operator are stand-ins in this program, on loopback addresses. It is
 // built by go test -c, which keeps the names of the users' pages out of the product.
-package standins
+package review
 
 import (
 	"errors"
