--- a/internal/decision/quarantine/loss.go
+++ b/internal/decision/quarantine/loss.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// lossTime is how long a process that a query has crashed counts as not replaced by another one, unless a target answers the query.
-	lossTime = 4 * time.Second
+	// LossTime is how long a process that a query has crashed counts as not replaced by another one, unless a target answers the query.
+	LossTime = 4 * time.Second
 	// maxLosses is the maximum number of processes that count as lost.
 	maxLosses = 1 << 13
 )
@@ -43,7 +43,7 @@
 	if len(l.byProcess) >= maxLosses {
 		return
 	}
-	until := now.Add(lossTime)
+	until := now.Add(LossTime)
 	l.byProcess[process] = loss{query: query, until: until}
 	l.over.Store(until.UnixNano())
 }
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -1,9 +1,10 @@
 // Package quarantine decides which queries are sent to targets with care, or not at all, because they seem to crash each target that
 // runs them.
 //
-// A target that ends has crashed one of the queries that it had, but the others are lost with it. A query is therefore a suspect only until
-// a target has answered it. A suspect is sent to one target at a time, so that it ends at most one more, and so that a crash says more about
-// it. It is blocked once it has crashed several targets, some of them alone:
+// A target that ends may have been crashed by one of its queries, but the others are lost with it, and it may have ended for a reason of its
+// own. A query is therefore a suspect only until a target has answered it. A suspect is sent to one target at a time, some time after the
+// last crash, so that it ends at most one more, and so that the result is independent of what ended the others. It is blocked after each
+// such trial that has ended a target, for a few seconds at first, because the target may have ended at that moment by coincidence:
 //
 //	list := quarantine.NewList()
 //	if list.Verdict(fingerprint, now).Mode == quarantine.Blocked {
@@ -25,16 +26,27 @@
 
 const (
 	// minimumCrashes is the number of crashed targets from which a query is blocked, and minimumAlone the number of those that it
-	// crashed alone. One crash alone may be that of another query that reached the same target at the same moment.
-	minimumCrashes = 3
-	minimumAlone   = 2
+	// crashed in trials.
+	minimumCrashes = 2
+	minimumAlone   = 1
+	// strongCrashes is the number of crashed targets from which a record is stored. A query that was only lost with others rarely has it.
+	strongCrashes = 3
 	// suspicionTime is how long a query stays a suspect after its last crash.
 	suspicionTime = 2 * time.Minute
+	// SettleTime is the shortest time between a crash and the next trial. It exceeds the time in which the lost connections of targets that
+	// end together are noticed in all regions.
+	SettleTime = 100 * time.Millisecond
 	// firstBlockTime is how long a query is blocked at first. Each crash after a block blocks it blockFactor times as long as before,
 	// for maximumBlockTime at most.
-	firstBlockTime   = 10 * time.Minute
-	blockFactor      = 6
+	firstBlockTime   = 5 * time.Second
+	blockFactor      = 60
 	maximumBlockTime = 24 * time.Hour
+	// minimumBlockMemory is the shortest time for which a query is a suspect after a block.
+	minimumBlockMemory = 20 * time.Minute
+	// triersDoublingTime is the time in which the number of instances that may try a suspect doubles.
+	triersDoublingTime = 2 * time.Second
+	// maxTriersDoublings bounds that number.
+	maxTriersDoublings = 20
 	// maximumTrialTime is the time after which a trial that has not ended does not keep the next one from beginning.
 	maximumTrialTime = 30 * time.Second
 	// maxRecords is the maximum number of records.
@@ -63,6 +75,14 @@
 	Left time.Duration
 	// Crashes are the crashes of a query that is sent with care.
 	Crashes []suspect.Crash
+	// Waiting is the time for which such a query could have been tried: since its last crash or the end of its last block.
+	Waiting time.Duration
+}
+
+// Triers returns the number of instances of the fleet that may try a query that is sent with care. It grows until one of them receives the
+// query, so that a fleet of any size soon clears a query that is not guilty. A guilty query that is sent often is tried by one instance.
+func (v *Verdict) Triers() int {
+	return 1 << min(v.Waiting/triersDoublingTime, maxTriersDoublings)
 }
 
 // Crashed reports whether the query has crashed a process, as far as is known.
@@ -75,6 +95,8 @@
 	suspect.Record
 	blockedUntil time.Time
 	expires      time.Time
+	// crashedAt is when this instance learned of the last crash.
+	crashedAt time.Time
 	// changed and observed count the changes of all records up to the last one of this record, and up to the last one that this instance
 	// observed itself.
 	changed  uint64
@@ -120,11 +142,16 @@
 	case now.Before(r.blockedUntil):
 		return Verdict{Mode: Blocked, Left: r.blockedUntil.Sub(now)}
 	default:
-		return Verdict{Mode: Careful, Crashes: slices.Clone(r.Crashes)}
+		tryable := r.crashedAt
+		if r.blockedUntil.After(tryable) {
+			tryable = r.blockedUntil
+		}
+
+		return Verdict{Mode: Careful, Crashes: slices.Clone(r.Crashes), Waiting: now.Sub(tryable)}
 	}
 }
 
-// BeginTrial begins to send a suspect, unless this instance is sending the same already. EndTrial ends that.
+// BeginTrial begins to send a suspect, unless this instance is sending the same already or the last crash is too recent. EndTrial ends that.
 func (l *List) BeginTrial(f suspect.Fingerprint, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -132,7 +159,7 @@
 	if r == nil {
 		return true
 	}
-	if now.Before(r.trialUntil) {
+	if now.Before(r.trialUntil) || now.Sub(r.crashedAt) < SettleTime {
 		return false
 	}
 	r.trialUntil = now.Add(maximumTrialTime)
@@ -164,6 +191,7 @@
 	}
 	changed := r.add(c)
 	if changed {
+		r.crashedAt = now
 		l.losses.add(c.Process, f, now)
 	}
 	if retested := r.Blocks > 0 && c.Alone && !now.Before(r.blockedUntil); retested {
@@ -239,6 +267,7 @@
 	}
 	for _, c := range from.Crashes {
 		if r.add(c) {
+			r.crashedAt = now
 			l.losses.add(c.Process, r.Fingerprint, now)
 			changed = true
 		}
@@ -311,8 +340,8 @@
 	}
 	r.expires = now.Add(suspicionTime)
 	if r.Blocks > 0 {
-		// After the block, the query is a suspect for as long as it was blocked.
-		r.expires = r.blockedUntil.Add(max(suspicionTime, blockTime(r.Blocks)))
+		// After the block, the query is a suspect for as long as it was blocked, or longer.
+		r.expires = r.blockedUntil.Add(max(minimumBlockMemory, blockTime(r.Blocks)))
 	}
 	l.sequence++
 	r.changed = l.sequence
@@ -377,14 +406,13 @@
 	return l.filter(now, func(r *record) bool { return now.Before(r.blockedUntil) })
 }
 
-// StrongRecords returns the records of the queries that have crashed as many targets as it takes to block a query, whether or not they are
-// blocked.
+// StrongRecords returns the records of the queries that have crashed several targets, whether or not they are blocked.
 func (l *List) StrongRecords(now time.Time) (records []suspect.Record) {
 	return l.filter(now, func(r *record) bool { return !now.After(r.expires) && r.strong() })
 }
 
-// strong reports whether the query has crashed as many targets as it takes to block it. A query that was only lost with others rarely has.
-func (r *record) strong() bool { return len(r.Crashes) >= minimumCrashes }
+// strong reports whether the record is one of the StrongRecords.
+func (r *record) strong() bool { return r.Blocks > 0 || len(r.Crashes) >= strongCrashes }
 
 func (l *List) filter(now time.Time, keep func(*record) bool) (records []suspect.Record) {
 	if l.Empty() {
--- a/internal/tier/control/limits.go
+++ b/internal/tier/control/limits.go
@@ -136,9 +136,9 @@
 	return f.mode != leading && f.timers.Since(f.updatedAt) > cutOffAfter
 }
 
-// IsResponsible reports whether this instance is the one of the fleet that may do what only one may at a time: the one with the highest hash
-// of key and name among those that the leader lists. None is while it has no contact to the leader.
-func (f *Fleet) IsResponsible(key string) bool {
+// IsResponsible reports whether this instance is one of those of the fleet that may do what only some may at a time: the given number of those
+// that the leader lists, by the highest hash of key and name. None is while it has no contact to the leader.
+func (f *Fleet) IsResponsible(key string, number int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.follow == nil {
@@ -147,14 +147,17 @@
 	if _, listed := f.instances[f.self.Name]; !listed || f.mode != leading && f.timers.Since(f.updatedAt) > contactTimeout {
 		return false
 	}
-	own := hash(key + "/" + f.self.Name)
+	if number >= len(f.instances) {
+		return true
+	}
+	own, above := hash(key+"/"+f.self.Name), 0
 	for name := range f.instances {
 		if hash(key+"/"+name) > own {
-			return false
+			above++
 		}
 	}
 
-	return true
+	return above < number
 }
 
 // maintainFeed drops the instances and reports that have expired while this instance leads.
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -357,7 +357,11 @@
 func (q *activeQuery) timeToNextHedge(now time.Time) time.Duration {
 	wait := farFuture
 	if q.careful {
-		return wait
+		if q.active == 0 && len(q.held) > 0 {
+			wait = q.settling(now)
+		}
+
+		return max(wait, 0)
 	}
 	if q.endangeredWaits() {
 		wait = q.endangeredAt.Sub(now)
--- a/internal/tier/dispatch/attempt.go
+++ b/internal/tier/dispatch/attempt.go
@@ -14,7 +14,7 @@
 	link   *target.Link
 	cancel target.Cancel
 	ended  bool
-	// alone is set if no other attempt of the query was under way at any time of this one.
+	// alone is set for an attempt of a query that is sent with care, and thus to one target at a time.
 	alone bool
 }
 
@@ -70,14 +70,8 @@
 // sendAttempt starts an attempt at a target and sets the time at which the subrequest is hedged.
 func (q *activeQuery) sendAttempt(i int, r replica, now time.Time) {
 	s := &q.subrequests[i]
-	a := &attempt{link: r.link}
-	if q.active == 0 {
-		// Before the query is sent with care, peers may be sending other subrequests of it.
-		a.alone = q.careful || !q.subset && len(q.groups) == 0
-		q.lone = a
-	} else if q.lone != nil {
-		q.lone.alone, q.lone = false, nil
-	}
+	// Targets that end while they have a query that is not sent with care may have ended together, for a reason of their own.
+	a := &attempt{link: r.link, alone: q.careful && q.active == 0}
 	q.active++
 	s.attempts = append(s.attempts, a)
 	s.attemptsUsed++
@@ -166,6 +160,8 @@
 // sendDueHedges sends the subrequests that are late to another replica.
 func (q *activeQuery) sendDueHedges(now time.Time) {
 	if q.careful {
+		q.startNextHeld(now)
+
 		return
 	}
 	if q.endangeredDue(now) {
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -137,7 +137,7 @@
 	groups   func(q *Query) []Group
 	// suspects are the queries that seem to crash targets.
 	suspects *quarantine.List
-	mayTry   func(suspect.Fingerprint) bool
+	mayTry   func(f suspect.Fingerprint, triers int) bool
 
 	mu          sync.Mutex
 	trackers    map[string]*hedging.Tracker
@@ -162,9 +162,9 @@
 	return func(d *Dispatcher) { d.groups = groups }
 }
 
-// WithSuspects sets the list of the queries that seem to crash targets. A suspect is sent only if mayTry returns true, so that not all
-// instances try it at the same time.
-func WithSuspects(suspects *quarantine.List, mayTry func(suspect.Fingerprint) bool) Option {
+// WithSuspects sets the list of the queries that seem to crash targets. A suspect is sent only if mayTry returns true: this instance is one
+// of the given number that may try it.
+func WithSuspects(suspects *quarantine.List, mayTry func(f suspect.Fingerprint, triers int) bool) Option {
 	return func(d *Dispatcher) { d.suspects, d.mayTry = suspects, mayTry }
 }
 
@@ -180,7 +180,7 @@
 		groups:      func(*Query) []Group { return nil },
 		suspects:    quarantine.NewList(),
 
-		mayTry: func(suspect.Fingerprint) bool { return true },
+		mayTry: func(suspect.Fingerprint, int) bool { return true },
 	}
 	for _, option := range options {
 		option(d)
--- a/internal/tier/dispatch/suspicion.go
+++ b/internal/tier/dispatch/suspicion.go
@@ -43,12 +43,12 @@
 	// with care.
 	crashes   int
 	abandoned bool
+	// crashedAt is when the last of them ended.
+	crashedAt time.Time
 	// inTrial is set while the query, a suspect, is the only one of its kind that this instance sends.
 	inTrial bool
-	// active is the number of attempts that have no result yet, and lone the attempt that began while there was no other, unless another
-	// one has begun since.
+	// active is the number of attempts that have no result yet.
 	active int
-	lone   *attempt
 }
 
 // fingerprint returns the fingerprint of the query. It is made of the request line, the Host header, which is the first one of Head, and
@@ -70,7 +70,7 @@
 	}
 
 	verdict := d.suspects.Verdict(q.fingerprint(), d.timers.Now())
-	if verdict.Mode == quarantine.Careful && !d.mayTry(q.fingerprint()) {
+	if verdict.Mode == quarantine.Careful && !d.mayTry(q.fingerprint(), verdict.Triers()) {
 		verdict.Mode = quarantine.Blocked
 	}
 
@@ -197,6 +197,7 @@
 			"Alone", crash.Alone, "Blocked", verdict.Mode == quarantine.Blocked)
 		q.d.metrics.TargetSignal(context.Background(), "Crashed")
 		q.crashes++
+		q.crashedAt = now
 		q.abandoned = q.abandoned || q.careful && crash.Alone
 		q.careful = true
 	}
@@ -287,9 +288,21 @@
 	q.held = append(q.held, i)
 }
 
+// settling returns how much longer the query waits before it is sent again after a crash.
+func (q *activeQuery) settling(now time.Time) time.Duration {
+	return q.crashedAt.Add(quarantine.SettleTime).Sub(now)
+}
+
 // startNextHeld sends one of the subrequests that wait, once no other attempt is under way. It is chosen at random, so that queries that
 // were lost with the same targets are not sent to the same target again.
 func (q *activeQuery) startNextHeld(now time.Time) {
+	if q.settling(now) > 0 {
+		return
+	}
+	if q.crashes > 0 && q.d.suspects.Verdict(q.request.fingerprint(), now).Mode == quarantine.Blocked {
+		// Other requests of the query have crashed targets meanwhile.
+		q.abandoned = true
+	}
 	rand.Shuffle(len(q.held), func(i, k int) { q.held[i], q.held[k] = q.held[k], q.held[i] })
 	for len(q.held) > 0 && q.active == 0 {
 		i := q.held[0]
@@ -308,7 +321,8 @@
 func (q *activeQuery) mustSpare() bool { return q.sparing || q.verdict.Mode == quarantine.Careful }
 
 // sparesReplica reports whether a replica of the subrequest's service is left if the query crashes one. A service without a replica that has
-// ended recently counts as having one left, because it may have only one.
+// ended recently counts as having one left, because it may have only one. If all have ended, other processes may have taken their places
+// that the registry does not list yet.
 func (q *activeQuery) sparesReplica(i int, now time.Time) bool {
 	alive, ended := 0, 0
 	q.links = q.d.pool.Links(q.links[:0], q.subrequests[i].service)
@@ -320,7 +334,7 @@
 		}
 	}
 
-	return alive > 1 || ended == 0
+	return alive > 1 || ended == 0 || alive == 0 && q.verdict.Waiting >= quarantine.LossTime
 }
 
 // startHeld sends a subrequest that waited.
--- a/internal/world/suspect/suspect.go
+++ b/internal/world/suspect/suspect.go
@@ -60,7 +60,8 @@
 type Crash struct {
 	// Process identifies the process.
 	Process string
-	// Alone is set if no other request of the query was under way when it was lost.
+	// Alone is set if the query was a suspect when the target was sent it, and no other request of the query was under way. The crash is
+	// then independent of the crashes before.
 	Alone bool
 }
 
