--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -5,6 +5,7 @@
 	SettingsReloaded   = declare(1010, "SettingsReloaded", Info, "The settings file was read again; Changed says whether a setting differs.")
 	SettingsRejected   = declare(1011, "SettingsRejected", Error, "The settings file is unusable; the process waits, or keeps the last valid settings.")
 	OwnValueRejected   = declare(1018, "OwnValueRejected", Warning, "A value that an instance stored cannot be decoded; it is treated as absent.")
+	WriteRejected      = declare(1022, "WriteRejected", Warning, "The store rejects a change; it is left out, the others are written, and it is tried again after a minute.")
 	RegistrationFailed = declare(1014, "RegistrationFailed", Warning, "The registration could not be written, renewed or ended; the instance retries.")
 	LeadershipBegan    = declare(1015, "LeadershipBegan", Info, "This instance is now the leader, which reads the targets' entries for the fleet.")
 	LeadershipEnded    = declare(1016, "LeadershipEnded", Warning, "This instance is no longer the leader, which reads the targets' entries for the fleet.")
--- a/internal/standin/memory/memory.go
+++ b/internal/standin/memory/memory.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -32,6 +33,9 @@
 	maxTTL = 10 * time.Minute
 )
 
+// maxValueBytes is the maximum size of a value, as on the users' platform.
+const maxValueBytes = 1 << 20
+
 var errUnavailable = errors.New("the store is unavailable")
 
 // Store is an in-memory store. It is safe for concurrent use.
@@ -291,6 +295,22 @@
 	return changes
 }
 
+// checkLimits returns an error if a transaction exceeds a limit of the users' platform.
+func checkLimits(t *control.Transaction) error {
+	changes, valid := len(t.Expect)+len(t.Puts)+len(t.Deletes), true
+	for _, p := range t.Puts {
+		valid = valid && len(p.Key) <= control.MaxKeyBytes && len(p.Value) <= maxValueBytes
+	}
+	for _, key := range t.Deletes {
+		valid = valid && len(key) <= control.MaxKeyBytes
+	}
+	if valid && changes <= control.MaxChanges {
+		return nil
+	}
+
+	return fmt.Errorf("%w: %w", control.ErrNoEffect, control.ErrRejected)
+}
+
 func (s *Store) commit(_ context.Context, t control.Transaction) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -298,6 +318,9 @@
 		return 0, errUnavailable
 	}
 	s.endExpiredLeases()
+	if err := checkLimits(&t); err != nil {
+		return 0, err
+	}
 	restored := false
 	for key, expected := range t.Expect {
 		generation, revision := control.SplitRevision(expected)
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -334,6 +334,8 @@
 		return http.StatusNotFound
 	case errors.Is(err, control.ErrCompacted):
 		return http.StatusGone
+	case errors.Is(err, control.ErrRejected):
+		return http.StatusBadRequest
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -264,10 +264,11 @@
 	f.broadcast()
 }
 
-// confirm records that the leader has read the store.
-func (f *Feed) confirm() {
+// confirm records when the leader last read the registry of targets and passed on all that had changed. The followers read it themselves
+// once that is too long ago.
+func (f *Feed) confirm(readAt time.Time) {
 	f.mu.Lock()
-	f.storeReadAt = f.timers.Now()
+	f.storeReadAt = readAt
 	f.mu.Unlock()
 }
 
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -375,12 +375,12 @@
 	case strings.HasPrefix(e.Key, suspectPrefix):
 		f.applySuspect(e)
 	case strings.HasPrefix(e.Key, mirrorPrefix):
-		id := strings.TrimPrefix(e.Key, mirrorPrefix)
+		name := strings.TrimPrefix(e.Key, mirrorPrefix)
 		f.mirrorRevision = max(f.mirrorRevision, e.Revision)
 		f.seenRevision = max(f.seenRevision, e.Revision)
-		delete(f.targets, id)
+		delete(f.targets, name)
 		if m, ok := decodeEntry[mirrored](f.log, e); ok {
-			f.targets[id] = m.target(id)
+			f.targets[name] = m.target(name)
 		}
 	}
 }
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,12 +36,29 @@
 	version  atomic.Uint64 // version of the stored configuration
 	calls    atomic.Int64  // calls of all instances to the store
 	silent   atomic.Bool   // the store answers nothing
+	// rejectedWrites is the number of commits that have failed because of a commitError.
+	rejectedWrites atomic.Int64
 
 	mu        sync.Mutex
 	instances map[string]*followingInstance
 	byAddress map[netip.AddrPort]*followingInstance
 }
 
+// commitError is the error of the transactions that put one of the keys.
+type commitError struct {
+	keys func(key string) bool
+	err  error
+}
+
+// check returns the error if the transaction puts one of the keys.
+func (e *commitError) check(t *control.Transaction) error {
+	if e != nil && slices.ContainsFunc(t.Puts, func(p control.Put) bool { return e.keys(p.Key) }) {
+		return e.err
+	}
+
+	return nil
+}
+
 // followingInstance is an instance with the components of control that a node has.
 type followingInstance struct {
 	testInstance
@@ -50,6 +68,8 @@
 	suspects      *quarantine.List
 	// holdCommit, if set, is called before each commit of the instance. The commit then lands whether or not the instance still waits.
 	holdCommit atomic.Pointer[func()]
+	// commitError, if set, makes some commits of the instance fail without effect.
+	commitError atomic.Pointer[commitError]
 	// loseReplies makes the commits of the instance fail although they land.
 	loseReplies atomic.Bool
 	// isolated cuts the instance off from the others, and storeCut from the store.
@@ -144,6 +164,11 @@
 			if err := call(ctx); err != nil {
 				return 0, err
 			}
+			if err := i.commitError.Load().check(&t); err != nil {
+				f.rejectedWrites.Add(1)
+
+				return 0, err
+			}
 
 			revision, err := inner.Commit(ctx, t)
 			if i.loseReplies.Load() {
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -48,6 +48,8 @@
 	notify               func(ctx context.Context, n Notice)
 	// registryReadAt is when this instance last read the registry of targets without leading.
 	registryReadAt time.Time
+	// rejected are the changes that the store has rejected. They are kept over terms, so that they do not end each term that begins.
+	rejected rejections
 }
 
 // LeadershipOption configures a Leadership.
@@ -81,6 +83,7 @@
 ) *Leadership {
 	l := &Leadership{
 		fleet: fleet, targets: targets, store: store, timers: timers, log: log, readInterval: readInterval, started: timers.Now(),
+		rejected:             make(rejections),
 		readConfiguration:    func(context.Context) error { return nil },
 		configurationVersion: func() uint64 { return 0 },
 		notify:               func(context.Context, Notice) {},
@@ -253,20 +256,24 @@
 			}
 		}
 		l.fleet.feed.takeLeaving(l.targets.MarkLeaving)
+		readAt := l.timers.Now()
 		if err := l.targets.Read(ctx); err != nil {
 			// Stay leader. If the store does not answer the renewals either, the lease expires and another instance can take over.
 			l.log.Log(event.StoreUnavailable, "Part", "Leader", "Error", err)
 
 			continue
 		}
-		l.fleet.feed.confirm()
 		if t.store.Generation() != t.generation {
 			// The mirror is checked first, in the next tick.
 			continue
 		}
-		if err := t.updateMirror(ctx); err != nil {
+		synced, err := t.updateMirror(ctx)
+		if err != nil {
 			return err
 		}
+		if synced {
+			l.fleet.feed.confirm(readAt)
+		}
 		if err := t.syncSuspects(ctx); err != nil {
 			return err
 		}
--- a/internal/tier/control/store.go
+++ b/internal/tier/control/store.go
@@ -14,6 +14,9 @@
 	ErrLeaseEnded = errors.New("the lease has ended")
 	// ErrNoEffect means that a call certainly had no effect, because it did not reach the store or because the store rejected it.
 	ErrNoEffect = errors.New("the store did not take the call")
+	// ErrRejected means that the store has rejected the content of a call, which had no effect, and would reject it again. It comes with
+	// ErrNoEffect.
+	ErrRejected = errors.New("the store rejects the content of the call")
 	// ErrRestored means that a transaction was applied to a store that has come back from an older copy, where the expected revisions
 	// may be those of other values.
 	ErrRestored = errors.New("the store has come back from an older copy")
@@ -62,6 +65,9 @@
 // MaxChanges is the store's limit for the sum of expected keys, puts and deletes in one transaction.
 const MaxChanges = 32
 
+// MaxKeyBytes is the store's limit for the length of a key.
+const MaxKeyBytes = 200
+
 // KeyValueStore reads and writes the keys that the instances keep in the store. The function fields must be set before the first
 // use. All revisions are ordered revisions, as returned by OrderRevision.
 type KeyValueStore struct {
--- a/internal/tier/control/suspects.go
+++ b/internal/tier/control/suspects.go
@@ -171,10 +171,19 @@
 		if len(changes.Puts)+len(changes.Deletes) == 0 {
 			return nil
 		}
+		before := t.storedSuspects
 		t.storedSuspects = nil
-		if _, err := t.store.Commit(ctx, changes); err != nil {
+		rejected, err := t.commitAccepted(ctx, changes, func(ctx context.Context, part Transaction) error {
+			_, err := t.store.Commit(ctx, part)
+
+			return err
+		})
+		if err != nil {
 			return err
 		}
+		for _, key := range rejected {
+			restoreSuspect(next, before, key)
+		}
 		t.storedSuspects = next
 
 		return nil
@@ -187,14 +196,26 @@
 	return nil
 }
 
+// restoreSuspect makes next list the record below a key as it is stored, because the store has rejected its change.
+func restoreSuspect(next, stored map[suspect.Fingerprint]storedSuspect, key string) {
+	var fingerprint suspect.Fingerprint
+	if err := fingerprint.UnmarshalText([]byte(strings.TrimPrefix(key, suspectPrefix))); err != nil {
+		return
+	}
+	delete(next, fingerprint)
+	if old, ok := stored[fingerprint]; ok {
+		next[fingerprint] = old
+	}
+}
+
 // suspectChanges returns a transaction that brings the stored records up to date, or as much of it as one transaction can hold, and what is
 // stored after it.
 func (t *term) suspectChanges() (changes Transaction, next map[suspect.Fingerprint]storedSuspect) {
-	changes.Expect = map[string]uint64{leaderKey: t.revision}
+	now := t.timers.Now()
 	next = maps.Clone(t.storedSuspects)
 	full := func() bool { return len(changes.Puts)+len(changes.Deletes)+1 >= MaxChanges }
 	strong := make(map[suspect.Fingerprint]bool)
-	for _, record := range t.fleet.suspects.StrongRecords(t.timers.Now()) {
+	for _, record := range t.fleet.suspects.StrongRecords(now) {
 		strong[record.Fingerprint] = true
 		stored := newStoredSuspect(&record)
 		if old, ok := next[record.Fingerprint]; ok && old == stored || full() {
@@ -202,12 +223,17 @@
 		}
 		// The fields of a Record can always be encoded.
 		value, _ := json.Marshal(&record)
-		changes.Puts = append(changes.Puts, Put{Key: suspectPrefix + record.Fingerprint.String(), Value: value})
+		key := suspectPrefix + record.Fingerprint.String()
+		if t.rejected.hasPut(key, value, now) {
+			continue
+		}
+		changes.Puts = append(changes.Puts, Put{Key: key, Value: value})
 		next[record.Fingerprint] = stored
 	}
 	for fingerprint := range t.storedSuspects {
-		if !strong[fingerprint] && !full() {
-			changes.Deletes = append(changes.Deletes, suspectPrefix+fingerprint.String())
+		key := suspectPrefix + fingerprint.String()
+		if !strong[fingerprint] && !full() && !t.rejected.hasDelete(key, now) {
+			changes.Deletes = append(changes.Deletes, key)
 			delete(next, fingerprint)
 		}
 	}
--- a/internal/tier/control/term.go
+++ b/internal/tier/control/term.go
@@ -25,7 +25,7 @@
 	lastNotice     Notice
 	lastNoticeTick int
 	tick           int
-	// storedMirror is the content of the stored mirror by target ID, as last read or written in this term, nil if it is not known.
+	// storedMirror is the content of the stored mirror by mirrorName, as last read or written in this term, nil if it is not known.
 	storedMirror map[string]mirrored
 	// storedSuspects are the stored records of blocked queries, nil if they are not known.
 	storedSuspects map[suspect.Fingerprint]storedSuspect
@@ -106,10 +106,11 @@
 
 		return nil
 	})
+	synced := false
 	if err == nil {
-		err = t.updateMirror(ctx)
+		synced, err = t.updateMirror(ctx)
 	}
-	if err == nil && t.storedMirror != nil {
+	if synced {
 		err = t.callWithTimeout(ctx, func(ctx context.Context) (err error) {
 			t.revision, err = t.writeLeaderKey(ctx, t.revision, true)
 
@@ -138,13 +139,13 @@
 	}
 	t.storedMirror = make(map[string]mirrored, len(entries))
 	for i := range entries {
-		id := entries[i].Key[len(mirrorPrefix):]
+		name := entries[i].Key[len(mirrorPrefix):]
 		// An invalid value decodes to the zero value, which equals no target, so that syncMirror overwrites or deletes the key.
 		m, ok := decodeEntry[mirrored](t.log, &entries[i])
-		t.storedMirror[id] = m
+		t.storedMirror[name] = m
 		t.mirrorRevision = max(t.mirrorRevision, entries[i].Revision)
 		if ok {
-			known = append(known, m.target(id))
+			known = append(known, m.target(name))
 		}
 	}
 
@@ -152,9 +153,10 @@
 }
 
 // updateMirror synchronizes the mirror during a term. After a write whose outcome is not known, the mirror is read again first. Such a
-// failure does not end the term: if it did, the whole fleet would turn to the store at the begin of an outage.
-func (t *term) updateMirror(ctx context.Context) error {
-	err := t.callWithTimeout(ctx, func(ctx context.Context) error {
+// failure does not end the term: if it did, the whole fleet would turn to the store at the begin of an outage. synced is set if the mirror
+// has all that this instance has read.
+func (t *term) updateMirror(ctx context.Context) (synced bool, err error) {
+	err = t.callWithTimeout(ctx, func(ctx context.Context) error {
 		if t.storedMirror != nil {
 			return nil
 		}
@@ -169,12 +171,12 @@
 		err = t.syncMirror(ctx, true)
 	}
 	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) || ctx.Err() != nil {
-		return err
+		return err == nil, err
 	}
 	t.storedMirror = nil
 	t.log.Log(event.StoreUnavailable, "Part", "Mirror", "Error", err)
 
-	return nil
+	return false, nil
 }
 
 // writeLeaderKey writes the leader's key if its revision is still the expected one, and returns the new revision.
@@ -205,28 +207,21 @@
 }
 
 // syncMirror writes the differences between the directory of targets and the stored mirror, in transactions of at most MaxChanges.
-// If callTimeouts is set, each transaction has a timeout of its own; otherwise only the deadline of ctx applies.
+// If callTimeouts is set, each transaction has a timeout of its own; otherwise only the deadline of ctx applies. A target that the store
+// rejects is not mirrored.
 func (t *term) syncMirror(ctx context.Context, callTimeouts bool) error {
 	var changes Transaction
 	next := make(map[string]mirrored)
 	flush := func() error {
-		changes.Expect = map[string]uint64{leaderKey: t.revision}
-		commit := func(ctx context.Context) error {
-			revision, err := t.store.Commit(ctx, changes)
-			if err == nil {
-				t.mirrorRevision = revision
+		rejected, err := t.commitAccepted(ctx, changes, func(ctx context.Context, part Transaction) error {
+			return t.commitMirror(ctx, part, callTimeouts)
+		})
+		for _, key := range rejected {
+			name := key[len(mirrorPrefix):]
+			delete(next, name)
+			if old, ok := t.storedMirror[name]; ok {
+				next[name] = old
 			}
-
-			return err
-		}
-		var err error
-		if callTimeouts {
-			err = t.callWithTimeout(ctx, commit)
-		} else {
-			err = commit(ctx)
-		}
-		if err == nil {
-			t.fleet.feed.publish(changes.entries(t.mirrorRevision))
 		}
 		changes = Transaction{}
 
@@ -239,12 +234,11 @@
 
 		return flush()
 	}
+	now := t.timers.Now()
 	for target := range t.targets.Current().All {
-		m := newMirrored(target)
-		next[target.ID] = m
-		old, ok := t.storedMirror[target.ID]
-		if ok && target.Same(old.target(target.ID)) {
-			next[target.ID] = old
+		m, name := newMirrored(target), mirrorName(target.ID)
+		if old, ok := t.storedMirror[name]; ok && target.Same(old.target(name)) {
+			next[name] = old
 
 			continue
 		}
@@ -252,20 +246,29 @@
 		if err != nil {
 			// One odd target must not keep the leader from passing on the others.
 			t.log.Log(event.TargetRejected, "Entries", 1, "Target", target.ID, "Error", err)
-			delete(next, target.ID)
 
 			continue
 		}
-		changes.Puts = append(changes.Puts, Put{Key: mirrorPrefix + target.ID, Value: value})
+		if t.rejected.hasPut(mirrorPrefix+name, value, now) {
+			// What is stored of it is out of date and is deleted.
+			continue
+		}
+		next[name] = m
+		changes.Puts = append(changes.Puts, Put{Key: mirrorPrefix + name, Value: value})
 		if err := flushIfFull(); err != nil {
 			return err
 		}
 	}
-	for id := range t.storedMirror {
-		if _, ok := next[id]; ok {
+	for name, old := range t.storedMirror {
+		if _, ok := next[name]; ok {
+			continue
+		}
+		if t.rejected.hasDelete(mirrorPrefix+name, now) {
+			next[name] = old
+
 			continue
 		}
-		changes.Deletes = append(changes.Deletes, mirrorPrefix+id)
+		changes.Deletes = append(changes.Deletes, mirrorPrefix+name)
 		if err := flushIfFull(); err != nil {
 			return err
 		}
@@ -280,13 +283,36 @@
 	return nil
 }
 
+// commitMirror commits changes of the mirror and passes them on.
+func (t *term) commitMirror(ctx context.Context, changes Transaction, callTimeout bool) error {
+	commit := func(ctx context.Context) error {
+		revision, err := t.store.Commit(ctx, changes)
+		if err == nil {
+			t.mirrorRevision = revision
+		}
+
+		return err
+	}
+	var err error
+	if callTimeout {
+		err = t.callWithTimeout(ctx, commit)
+	} else {
+		err = commit(ctx)
+	}
+	if err == nil {
+		t.fleet.feed.publish(changes.entries(t.mirrorRevision))
+	}
+
+	return err
+}
+
 // mirrorEntries returns the content of the stored mirror.
 func (t *term) mirrorEntries() []Entry {
 	entries := make([]Entry, 0, len(t.storedMirror))
-	for id, m := range t.storedMirror {
+	for name, m := range t.storedMirror {
 		// The fields of a mirrored can always be encoded.
 		value, _ := json.Marshal(m)
-		entries = append(entries, Entry{Key: mirrorPrefix + id, Value: value, Revision: t.mirrorRevision})
+		entries = append(entries, Entry{Key: mirrorPrefix + name, Value: value, Revision: t.mirrorRevision})
 	}
 
 	return entries
--- a/internal/tier/control/value.go
+++ b/internal/tier/control/value.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
@@ -79,8 +82,10 @@
 	return nil
 }
 
-// mirrored is the value of a key below mirrorPrefix: a target, whose ID is the rest of the key.
+// mirrored is the value of a key below mirrorPrefix: a target.
 type mirrored struct {
+	// ID is the ID of the target, empty if it is the rest of the key.
+	ID               string `json:",omitempty"`
 	Service          string
 	Address          netip.AddrPort
 	AvailabilityZone string
@@ -111,13 +116,38 @@
 }
 
 func newMirrored(t *directory.Target) mirrored {
-	return mirrored{
+	m := mirrored{
 		Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone, Slots: t.Slots, Draining: t.Draining,
 		Warmup: t.Warmup, Started: t.Started,
 	}
+	if mirrorName(t.ID) != t.ID {
+		m.ID = t.ID
+	}
+
+	return m
 }
 
-func (m *mirrored) target(id string) *directory.Target {
+// hashedNamePrefix is the prefix of a mirrorName that is a hash.
+const hashedNamePrefix = "~"
+
+// mirrorName returns the rest of the key below mirrorPrefix under which a target is mirrored: its ID, or a hash of it if the key would be
+// longer than the store allows. Targets register under a shorter prefix.
+func mirrorName(id string) string {
+	if len(mirrorPrefix)+len(id) <= MaxKeyBytes && !strings.HasPrefix(id, hashedNamePrefix) {
+		return id
+	}
+	sum := sha256.Sum256([]byte(id))
+
+	return hashedNamePrefix + hex.EncodeToString(sum[:])
+}
+
+// target returns the target that is mirrored under a name.
+func (m *mirrored) target(name string) *directory.Target {
+	id := m.ID
+	if id == "" {
+		id = name
+	}
+
 	return &directory.Target{
 		ID: id, Service: m.Service, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Slots: m.Slots, Draining: m.Draining,
 		Warmup: m.Warmup, Started: m.Started,
