--- a/internal/tier/caller/handler.go
+++ b/internal/tier/caller/handler.go
@@ -16,7 +16,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -238,7 +237,7 @@
 		Version:   table.Version(),
 		RequestID: request.ID,
 		Method:    r.Method,
-		Head:      h.head(r, body),
+		Head:      h.head(r),
 		Body:      body,
 		Received:  received,
 		Deadline:  received.Add(matched.Timeout),
@@ -253,8 +252,9 @@
 	return q
 }
 
-// head returns the request line and the headers that are forwarded. The headers of each attempt are appended to it later.
-func (h *Handler) head(r *http.Request, body []byte) []byte {
+// head returns the request line and the headers that are forwarded. The headers of each attempt, and the length of the body, are appended to
+// it when the request is sent to a target.
+func (h *Handler) head(r *http.Request) []byte {
 	head := make([]byte, 0, 512)
 	head = append(head, r.Method...)
 	head = append(head, ' ')
@@ -274,11 +274,6 @@
 			head = append(head, "\r\n"...)
 		}
 	}
-	if len(body) > 0 || r.ContentLength != 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
-		head = append(head, "Content-Length: "...)
-		head = strconv.AppendInt(head, int64(len(body)), 10)
-		head = append(head, "\r\n"...)
-	}
 
 	return head
 }
@@ -293,7 +288,7 @@
 }
 
 // isHopByHop reports whether a header applies to a single connection and is not forwarded. Content-Length is one of them, because
-// it is written again for the body that is sent.
+// that of the body that is sent is written with it.
 func isHopByHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/internal/tier/handover/handover.go
+++ b/internal/tier/handover/handover.go
@@ -170,6 +170,9 @@
 func (h *Handover) Gather(ctx context.Context, q *dispatch.Query) dispatch.Answer {
 	var tried []string
 	for range maxPeerAttempts {
+		if !fitsMessages(q) {
+			break
+		}
 		instance, verdict := h.choosePeer(q, tried)
 		if instance == nil {
 			break
@@ -200,6 +203,11 @@
 	return h.gather(ctx, q)
 }
 
+// fitsMessages reports whether a query is small enough to be handed over.
+func fitsMessages(q *dispatch.Query) bool {
+	return len(q.Head) <= peer.MaxHeadBytes && len(q.Body) <= peer.MaxBodyBytes
+}
+
 // mayHaveRun reports whether a peer that failed may have sent the query to targets.
 func mayHaveRun(err error) bool {
 	return errors.Is(err, peer.ErrLost) || errors.Is(err, peer.ErrNotAccepted)
@@ -316,6 +324,7 @@
 		Version:   q.Version,
 		Method:    q.Method,
 		Head:      q.Head,
+		Body:      q.Body,
 		Left:      q.Deadline.Sub(now) - answerMargin,
 		Elapsed:   q.Elapsed + now.Sub(q.Received) + roundTrip,
 		Extra:     q.MaybeSent,
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -135,7 +135,11 @@
 	if err != nil {
 		return reply, asNotAccepted(err)
 	}
-	stream, err := conn.drpcConn.NewStream(callCtx, rpcGather, encoding{})
+	rpc := rpcGather
+	if len(request.Body) > 0 {
+		rpc = rpcGatherBody
+	}
+	stream, err := conn.drpcConn.NewStream(callCtx, rpc, encoding{})
 	if err != nil {
 		_ = conn.drpcConn.Close()
 
@@ -164,14 +168,15 @@
 	if reply.Accepted.Declined != "" {
 		return reply, ErrDeclined
 	}
+	if len(request.Body) > 0 {
+		if err = stream.MsgSend(&GatherBody{Body: request.Body}, encoding{}); err != nil {
+			return reply, lostOrCancelled(ctx, err)
+		}
+	}
 	for {
 		var answer GatherAnswer
 		if err = stream.MsgRecv(&answer, encoding{}); err != nil {
-			if ctx.Err() != nil {
-				return reply, context.Canceled
-			}
-
-			return reply, errors.Join(ErrLost, err)
+			return reply, lostOrCancelled(ctx, err)
 		}
 		if answer.Early && early != nil {
 			early(answer.toDispatch())
@@ -184,6 +189,15 @@
 	}
 }
 
+// lostOrCancelled returns the error of a call that failed after the peer had accepted the query.
+func lostOrCancelled(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Canceled
+	}
+
+	return errors.Join(ErrLost, err)
+}
+
 // Notice sends a notice of the leader to the peer at address.
 func (c *Client) Notice(ctx context.Context, address netip.AddrPort, n control.Notice) error {
 	return c.invoke(ctx, address, rpcNotice,
--- a/internal/tier/peer/peer_test.go
+++ b/internal/tier/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -8,8 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
@@ -72,6 +76,14 @@
 	return s
 }
 
+// cborEncoding encodes messages as this package does, without validation.
+type cborEncoding struct{}
+
+func (cborEncoding) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
+func (cborEncoding) Unmarshal(data []byte, message drpc.Message) error {
+	return cbor.Unmarshal(data, message)
+}
+
 // newRequest returns a valid request for all shards of the route.
 func newRequest() *peer.GatherRequest {
 	return &peer.GatherRequest{
@@ -100,6 +112,51 @@
 		Expect(s.opened.Load()).To(BeEquivalentTo(1))
 	})
 
+	DescribeTable("delivers the whole body of a query, without which targets would take the next request for it", func(size int) {
+		bodies := make(chan []byte, 1)
+		s := startServer(func(_ context.Context, q *dispatch.Query) dispatch.Answer {
+			bodies <- q.Body
+
+			return answer
+		})
+		client := peer.NewClient(timer.New())
+		defer client.Close()
+		request := newRequest()
+		request.Body = bytes.Repeat([]byte("b"), size)
+		for range 2 {
+			_, err := client.Gather(context.Background(), s.address, request, acceptBound, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(bytes.Equal(<-bodies, request.Body)).To(BeTrue())
+		}
+		Expect(s.opened.Load()).To(BeEquivalentTo(1))
+	},
+		Entry("no body", 0),
+		Entry("1 byte", 1),
+		Entry("40,000 bytes", 40000),
+		Entry("the maximum", peer.MaxBodyBytes),
+	)
+
+	It("does not gather a query whose body is not received, because its peer was cut off after the query was accepted", func() {
+		gathered := make(chan bool, 1)
+		s := startServer(func(context.Context, *dispatch.Query) dispatch.Answer {
+			gathered <- true
+
+			return answer
+		})
+		netConn, err := new(net.Dialer).DialContext(context.Background(), "tcp", s.address.String())
+		Expect(err).NotTo(HaveOccurred())
+		conn := drpcconn.New(netConn)
+		defer func() { _ = conn.Close() }()
+		stream, err := conn.NewStream(context.Background(), "/hickorynotch.Tier/GatherBody", cborEncoding{})
+		Expect(err).NotTo(HaveOccurred())
+		request := newRequest()
+		request.Left = 200 * time.Millisecond
+		Expect(stream.MsgSend(request, cborEncoding{})).To(Succeed())
+		Expect(stream.MsgRecv(&peer.GatherAccepted{}, cborEncoding{})).To(Succeed())
+		Expect(stream.MsgRecv(&peer.GatherAnswer{}, cborEncoding{})).To(MatchError(ContainSubstring("did not arrive in time")))
+		Expect(gathered).NotTo(Receive())
+	})
+
 	It("cancels the query at the peer when the context is cancelled, and reuses the connection", func() {
 		cancelled := make(chan struct{}, 1)
 		s := startServer(func(ctx context.Context, _ *dispatch.Query) dispatch.Answer {
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
@@ -28,6 +29,9 @@
 	Stopping = "Stopping"
 )
 
+// errNoBody means that a peer has not sent the body of a query in time.
+var errNoBody = errors.New("the body of the query did not arrive in time")
+
 // Prepare converts a request to a query for the configuration in force, whose version it returns. If the request has to be
 // declined, it returns the reason as declined.
 type Prepare func(r *GatherRequest) (q *dispatch.Query, declined string, version uint64)
@@ -110,7 +114,9 @@
 
 	switch rpc {
 	case rpcGather:
-		return s.handleGather(stream)
+		return s.handleGather(stream, false)
+	case rpcGatherBody:
+		return s.handleGather(stream, true)
 	case rpcNotice:
 		return s.handleNotice(stream)
 	case rpcFollow:
@@ -144,7 +150,8 @@
 	return stream.MsgSend(&SuspectsResponse{}, encoding{})
 }
 
-func (s *Server) handleGather(stream drpc.Stream) error {
+// handleGather gathers a query for a peer. With withBody, the body of the query follows once it is accepted.
+func (s *Server) handleGather(stream drpc.Stream, withBody bool) error {
 	var request GatherRequest
 	if err := stream.MsgRecv(&request, encoding{}); err != nil {
 		return err
@@ -156,6 +163,13 @@
 	if err := stream.MsgSend(accepted, encoding{}); err != nil || declined != "" {
 		return err
 	}
+	if withBody {
+		body, err := s.receiveBody(stream, request.Left)
+		if err != nil {
+			return err
+		}
+		q.Body = body
+	}
 	if len(request.Shards) > 0 {
 		q.OnEarly = func(early dispatch.Answer) {
 			// The error can be ignored: if the message cannot be sent, the stream's context is cancelled, which ends the query.
@@ -171,3 +185,17 @@
 
 	return stream.MsgSend(newGatherAnswer(&answer, int(s.active.Load())), encoding{})
 }
+
+// receiveBody receives the body of a query. It fails if the body is not received within the timeout, for example because the peer is frozen.
+func (s *Server) receiveBody(stream drpc.Stream, timeout time.Duration) ([]byte, error) {
+	var message GatherBody
+	received := make(chan error, 1)
+	// Once the call has ended, MsgRecv returns.
+	go func() { received <- stream.MsgRecv(&message, encoding{}) }()
+	select {
+	case err := <-received:
+		return message.Body, err
+	case <-s.timers.After(timeout):
+		return nil, errNoBody
+	}
+}
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
@@ -51,7 +52,8 @@
 	RequestID string
 	// Method is the HTTP method of the request. Parsing the response depends on it: a response to HEAD has no body.
 	Method string
-	// Head is the request line and the header lines that are the same for all targets.
+	// Head is the request line and the header lines that are the same for all targets, without a Content-Length: that of Body is added
+	// when both are sent.
 	Head []byte
 	Body []byte
 	// Deadline is the time after which the caller can no longer use the response.
@@ -193,9 +195,10 @@
 // writeRequest writes the request to the connection, in a goroutine of its own if the body is large. The returned channel receives
 // the result of the write. After an error, result.Outcome is NotRun if nothing was written.
 func (l *Link) writeRequest(c *conn, call *Call, remaining time.Duration, result *Result) (<-chan error, error) {
-	request := make([]byte, 0, len(call.Head)+len(call.Body)+96)
+	request := make([]byte, 0, len(call.Head)+len(call.Body)+128)
 	request = append(request, call.Head...)
 	request = l.pool.codec.AppendAttempt(request, remaining, l.id)
+	request = appendContentLength(request, call)
 	request = append(request, "\r\n"...)
 	request = append(request, call.Body...)
 	writeDone := make(chan error, 1)
@@ -218,6 +221,21 @@
 	return writeDone, err
 }
 
+// appendContentLength appends the Content-Length of the body that is sent. A request without a body has one if its method suggests a body.
+func appendContentLength(head []byte, call *Call) []byte {
+	switch call.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+	default:
+		if len(call.Body) == 0 {
+			return head
+		}
+	}
+	head = append(head, "Content-Length: "...)
+	head = strconv.AppendInt(head, int64(len(call.Body)), 10)
+
+	return append(head, "\r\n"...)
+}
+
 // readResponse reads one response into result. It returns errRequestIDMismatch if the response belongs to another request.
 // keepAlive reports whether the target leaves the connection open.
 func (l *Link) readResponse(c *conn, call *Call, result *Result) (keepAlive bool, err error) {
