--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -44,6 +44,9 @@
 const (
 	// memoryFraction is the fraction of the machine's memory that is set as the soft memory limit of the Go runtime.
 	memoryFraction = 0.6
+	// replyMemoryFraction is the fraction of the machine's memory for responses of targets that are being read. Up to three times as much is
+	// in use for them, which stays below memoryFraction together with what an instance needs otherwise.
+	replyMemoryFraction = 0.125
 	// headerTimeout limits the time to read the headers of a request. For callers, caller.Connections enforces the idle timeout of
 	// the configuration as well, which is usually shorter.
 	headerTimeout = time.Minute
@@ -180,7 +183,7 @@
 	})
 	n.targetPool = target.NewPool(adapters.Targets, timers, target.WithLog(n.log), target.WithConnections(n.connectionLimit),
 		target.WithFleet(n.limitFacts), target.OnLeaving(n.reportLeaving),
-		target.WithMetrics(n.metrics))
+		target.WithMetrics(n.metrics), target.WithReplyMemory(int64(replyMemoryFraction*float64(settings.Memory))))
 	n.budgets = budget.NewLedger(timers.Now(), n.extraRequestLimits)
 	n.dispatcher = dispatch.New(n.targetPool, n.budgets, timers, dispatch.Settings{
 		Place: place, ReturnPath: defaultReturnPath, Hedges: true,
--- a/internal/tier/target/conn.go
+++ b/internal/tier/target/conn.go
@@ -30,9 +30,8 @@
 // conn is a connection to a target. It carries one request at a time, without pipelining.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
-	// allowance limits what is read for one response, head and body together, whatever its framing.
-	allowance *io.LimitedReader
+	reader    *bufio.Reader
+	allowance *allowance
 	// lastUsed is the time at which the last response was read completely, or at which the connection was opened.
 	lastUsed    time.Time
 	idleTimeout time.Duration // idle time after which the connection is no longer reused
@@ -241,11 +240,11 @@
 		return nil, Error.Wrap(err)
 	}
 
-	return newConn(netConn, l.pool.timers.Now()), nil
+	return newConn(netConn, l.pool.replyMemory, l.pool.timers.Now()), nil
 }
 
-func newConn(netConn net.Conn, now time.Time) *conn {
-	allowance := &io.LimitedReader{R: netConn}
+func newConn(netConn net.Conn, memory *replyMemory, now time.Time) *conn {
+	allowance := newAllowance(netConn, memory)
 
 	return &conn{
 		Conn:        netConn,
--- a/internal/tier/target/crash.go
+++ b/internal/tier/target/crash.go
@@ -51,7 +51,7 @@
 		_ = netConn.Close()
 	default:
 		l.open++
-		l.idle = append(l.idle, newConn(netConn, timers.Now()))
+		l.idle = append(l.idle, newConn(netConn, l.pool.replyMemory, timers.Now()))
 	}
 
 	return false
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -92,9 +92,9 @@
 }
 
 // targetFailure reports whether the result counts as a failure of the target. A lack of free connections does not: this instance's
-// own connection limit causes it.
+// own connection limit causes it. Neither does a lack of memory, unless the response is large.
 func (r *Result) targetFailure() bool {
-	return !r.Success() && !errors.Is(r.Err, errNoConnection) && !errors.Is(r.Err, errTargetAway)
+	return !r.Success() && !errors.Is(r.Err, errNoConnection) && !errors.Is(r.Err, errTargetAway) && !errors.Is(r.Err, errReplyMemory)
 }
 
 // Send makes one attempt to send the call to the target. It returns once the call's deadline has passed or cancel.Cancel was
@@ -149,6 +149,7 @@
 // exchange writes the request and reads its response. It reports whether the connection can be reused.
 func (l *Link) exchange(c *conn, call *Call, result *Result) (reusable bool) {
 	_ = c.SetDeadline(call.Deadline)
+	defer c.allowance.release()
 	remaining := l.pool.timers.Until(call.Deadline)
 	if remaining <= 0 {
 		result.Outcome, result.Err = NotRun, errNoConnection
@@ -243,13 +244,13 @@
 	if maxBody == 0 {
 		maxBody = DefaultReplyBytes
 	}
-	c.allowance.N = maxHeadBytes
+	c.allowance.left = maxHeadBytes
 	response, err := readFinalHead(c, call.Method)
 	if err != nil {
 		return false, err
 	}
 	defer response.Body.Close()
-	c.allowance.N = maxBody + maxHeadBytes
+	c.allowance.left = maxBody + maxHeadBytes
 	result.Body, err = readBody(response, maxBody)
 	if err != nil {
 		return false, err
@@ -290,7 +291,9 @@
 	for range maxInterim + 1 {
 		response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
 		switch {
-		case err != nil && c.allowance.N <= 0:
+		case errors.Is(err, errReplyMemory), errors.Is(err, errLargeReply):
+			return nil, err
+		case err != nil && c.allowance.left <= 0:
 			return nil, errHeadTooLarge
 		case err != nil:
 			return nil, err
--- a/internal/tier/target/fuzz_test.go
+++ b/internal/tier/target/fuzz_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"io"
 	"net/http"
 	"testing"
 )
@@ -15,14 +14,15 @@
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: b\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		allowance := &io.LimitedReader{R: bytes.NewReader(data), N: maxHeadBytes}
+		allowance := newAllowance(bytes.NewReader(data), newReplyMemory(defaultReplyMemory))
+		allowance.left = maxHeadBytes
 		c := &conn{allowance: allowance, reader: bufio.NewReaderSize(allowance, readBufferSize)}
 		response, err := readFinalHead(c, http.MethodGet)
 		if err != nil {
 			return
 		}
 		defer func() { _ = response.Body.Close() }()
-		allowance.N = limit + maxHeadBytes
+		allowance.left = limit + maxHeadBytes
 		body, err := readBody(response, limit)
 		if err == nil && len(body) > limit {
 			t.Fatalf("accepted a body of %d bytes", len(body))
--- a/internal/tier/target/target.go
+++ b/internal/tier/target/target.go
@@ -45,6 +45,8 @@
 	// PartReplyBytes is the limit for the part of one shard, of which a query has up to 216 in memory. Parts of up to 6 kB are
 	// expected.
 	PartReplyBytes = 128 << 10
+	// defaultReplyMemory is the default of the memory for responses that are being read.
+	defaultReplyMemory = 32 << 20
 )
 
 // Pool manages the links to all targets in the directory. It is safe for concurrent use.
@@ -54,6 +56,7 @@
 	log         *event.Log
 	metrics     *metric.Set
 	dialTimeout time.Duration
+	replyMemory *replyMemory
 
 	mu          sync.RWMutex
 	links       map[string]*Link
@@ -97,6 +100,12 @@
 	return func(p *Pool) { p.connections = connections }
 }
 
+// WithReplyMemory limits the size of all responses that are being read at the same time, in bytes. A response that would exceed it fails. As
+// buffers grow, up to three times as much memory is in use.
+func WithReplyMemory(limit int64) Option {
+	return func(p *Pool) { p.replyMemory = newReplyMemory(limit) }
+}
+
 // WithFleet sets the function that returns the state of the fleet, which the requests to targets with a rate limit depend on.
 func WithFleet(fleet func() FleetFacts) Option {
 	return func(p *Pool) { p.fleet = fleet }
@@ -113,6 +122,7 @@
 		codec:       codec,
 		timers:      timers,
 		dialTimeout: defaultDialTimeout,
+		replyMemory: newReplyMemory(defaultReplyMemory),
 		links:       make(map[string]*Link),
 		directory:   directory.New(nil),
 		connections: func(string) int { return defaultConnections },
