--- a/internal/tier/caller/caller_test.go
+++ b/internal/tier/caller/caller_test.go
@@ -254,6 +254,23 @@
 		Entry("504 if it may have been run and timed out", dispatch.TimedOut, 504),
 	)
 
+	DescribeTable("answers 502, which promises nothing, instead of a target's response that did not answer the request",
+		func(result *target.Result) {
+			result.Outcome, result.Body = target.Answered, []byte("from the target")
+			w, _ := serve(table(), request("GET", "/f/1", ""), dispatch.Answer{Status: dispatch.Unknown, Result: result})
+			Expect(w.Code).To(Equal(502))
+			Expect(w.Body.String()).NotTo(ContainSubstring("from the target"))
+			Expect(w.Header().Get("Stamp")).To(BeEmpty())
+		},
+		Entry("a success in an encoding that was not asked for", &target.Result{Status: 200, Header: http.Header{
+			"Stamp": {"s"}, "Content-Encoding": {"gzip"},
+		}}),
+		Entry("a success without a stamp", &target.Result{Status: 200, Header: http.Header{}}),
+		Entry("an error in an encoding that was not asked for", &target.Result{Status: 500, Header: http.Header{
+			"Stamp": {"s"}, "Content-Encoding": {"br"},
+		}}),
+	)
+
 	It("returns a target's response with its status and body, without the header that reports the target's load", func() {
 		result := &target.Result{
 			Outcome: target.Answered, Status: 500, Body: []byte("failed"),
--- a/internal/tier/caller/connections_test.go
+++ b/internal/tier/caller/connections_test.go
@@ -119,7 +119,7 @@
 	It("are rejected with 431 if they exceed the size limit of the configuration, which is lower than that of the server", func() {
 		t, err := route.NewTable(7, table().Routes(), nil, route.Limits{HeaderBytes: 200})
 		Expect(err).NotTo(HaveOccurred())
-		answered := dispatch.Answer{Result: &target.Result{Outcome: target.Answered, Status: http.StatusOK}}
+		answered := dispatch.Answer{Status: dispatch.Answered, Result: &target.Result{Outcome: target.Answered, Status: http.StatusOK}}
 		r := request(http.MethodGet, "/f/1", "")
 		w, query := serve(t, r, answered)
 		Expect(w.Code).To(Equal(http.StatusOK))
--- a/internal/tier/caller/respond.go
+++ b/internal/tier/caller/respond.go
@@ -54,7 +54,7 @@
 		h.codec.SetParts(w.Header(), answer.Stamps, answer.Missing)
 
 		return writeBody(w, http.StatusOK, answer.Records)
-	case answer.Result != nil && answer.Result.Outcome == target.Answered:
+	case answer.Result != nil && (answer.Status == dispatch.Answered || answer.Result.Failure()):
 		return h.writeResult(w, answer.Result)
 	case answer.Status == dispatch.NotRun:
 		left := q.Deadline.Sub(h.timers.Now())
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -259,12 +259,12 @@
 // usable reports whether a result answers its subrequest. The result for a shard must be a success with a stamp that no other part
 // has.
 func (q *activeQuery) usable(r *target.Result) bool {
-	if r.Outcome != target.Answered || r.Header.Get("Content-Encoding") != "" {
+	if r.Outcome != target.Answered || r.Encoded() {
 		return false
 	}
 	if q.forwarded {
 		// A request that is not idempotent must not run twice, so the error response of a target that ran it is the final answer.
-		return r.Success() && r.Reply.Stamp != "" || !q.request.Route.Idempotent
+		return r.Success() && r.Reply.Stamp != "" || !q.request.Route.Idempotent && r.Failure()
 	}
 
 	return r.Success() && r.Reply.Stamp != "" && q.stamps.Add(r.Reply.Stamp)
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -78,8 +78,8 @@
 	Status Status
 	// Reason says why there is no better answer, or why the query ended when it did.
 	Reason string
-	// Result is the result of a forwarded request: the response that answers it or, if every attempt failed, the last result. It
-	// is nil if there was no attempt.
+	// Result is the result of a forwarded request: the response that answers it or, if every attempt failed, the last result, which is
+	// passed on only if it is a Failure. It is nil if there was no attempt.
 	Result *target.Result
 	// Stamps holds the stamps of the parts of a gathered query, Missing is the number of shards without a part, and Records are
 	// the merged records.
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -91,6 +91,13 @@
 	return r.Outcome == Answered && r.Status >= 200 && r.Status < 300
 }
 
+// Failure reports whether the result is a response with an error that can be passed on to the caller, because it claims nothing that is not
+// known: not the target's body in an encoding that the target was not asked for.
+func (r *Result) Failure() bool { return r.Outcome == Answered && !r.Success() && !r.Encoded() }
+
+// Encoded reports whether the body has an encoding, which no request asks for.
+func (r *Result) Encoded() bool { return r.Header.Get("Content-Encoding") != "" }
+
 // targetFailure reports whether the result counts as a failure of the target. A lack of free connections does not: this instance's
 // own connection limit causes it. Neither does a lack of memory, unless the response is large.
 func (r *Result) targetFailure() bool {
