--- a/internal/tier/caller/caller_test.go
+++ b/internal/tier/caller/caller_test.go
@@ -266,6 +266,9 @@
 			"Stamp": {"s"}, "Content-Encoding": {"gzip"},
 		}}),
 		Entry("a success without a stamp", &target.Result{Status: 200, Header: http.Header{}}),
+		Entry("a 503 of a target that does not state that it has not run it", &target.Result{Status: 503, Header: http.Header{"Stamp": {"s"}}}),
+		Entry("a 429 of such a target", &target.Result{Status: 429, Header: http.Header{"Stamp": {"s"}}}),
+		Entry("a 408 of such a target", &target.Result{Status: 408, Header: http.Header{"Stamp": {"s"}}}),
 		Entry("an error in an encoding that was not asked for", &target.Result{Status: 500, Header: http.Header{
 			"Stamp": {"s"}, "Content-Encoding": {"br"},
 		}}),
--- a/internal/tier/dispatch/unusable_test.go
+++ b/internal/tier/dispatch/unusable_test.go
@@ -37,6 +37,9 @@
 		Entry("a success in an encoding that was not asked for", false, 1, 200, "Stamp", "s", "Content-Encoding", "gzip"),
 		Entry("a success without a stamp", false, 1, 200),
 		Entry("an error in an encoding that was not asked for", false, 1, 500, "Stamp", "s", "Content-Encoding", "gzip"),
+		Entry("a 503 of a target that does not state that it has not run it", false, 1, 503, "Stamp", "s"),
+		Entry("a 429 of such a target", false, 1, 429, "Stamp", "s"),
+		Entry("several 503 of such targets", true, 2, 503, "Stamp", "s"),
 		Entry("several successes in an encoding that was not asked for", true, 2, 200, "Stamp", "s", "Content-Encoding", "gzip"),
 		Entry("several successes without a stamp", true, 2, 200),
 	)
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -92,8 +92,19 @@
 }
 
 // Failure reports whether the result is a response with an error that can be passed on to the caller, because it claims nothing that is not
-// known: not the target's body in an encoding that the target was not asked for.
-func (r *Result) Failure() bool { return r.Outcome == Answered && !r.Success() && !r.Encoded() }
+// known: not the target's body in an encoding that the target was not asked for, and not a status by which callers may send the request
+// again because it was not run. A target that has not run the request says so in a header.
+func (r *Result) Failure() bool {
+	if r.Outcome != Answered || r.Success() || r.Encoded() {
+		return false
+	}
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	}
+
+	return true
+}
 
 // Encoded reports whether the body has an encoding, which no request asks for.
 func (r *Result) Encoded() bool { return r.Header.Get("Content-Encoding") != "" }
