caller: a caller that ends its side of the connection gets no empty success

The server takes the end of input for the caller's leaving; the handler wrote nothing, and net/http makes a 200 of that. It writes 502 now, which promises nothing.

Test: tier/caller "does not get an empty success" (200 before).

--- a/internal/tier/caller/connections_test.go
+++ b/internal/tier/caller/connections_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"sync/atomic"
 	"time"
@@ -115,6 +116,28 @@
 	})
 })
 
+var _ = Describe("A caller that ends its side of the connection while it waits", func() {
+	It("does not get an empty success", func() {
+		forward := func(ctx context.Context, _ *dispatch.Query) dispatch.Answer {
+			<-ctx.Done()
+
+			return dispatch.Answer{Status: dispatch.Abandoned, Reason: "CallerLeft"}
+		}
+		server := httptest.NewServer(caller.NewHandler(codec, table, caller.Dispatch{Gather: forward, Forward: forward}, timer.New()))
+		DeferCleanup(server.Close)
+		conn, err := new(net.Dialer).DialContext(context.Background(), "tcp", server.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		_, err = io.WriteString(conn, "GET /f/1 HTTP/1.1\r\nHost: a.example\r\nRequest: r1\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+	})
+})
+
 var _ = Describe("Headers of a request", func() {
 	It("are rejected with 431 if they exceed the size limit of the configuration, which is lower than that of the server", func() {
 		t, err := route.NewTable(7, table().Routes(), nil, route.Limits{HeaderBytes: 200})
--- a/internal/tier/caller/respond.go
+++ b/internal/tier/caller/respond.go
@@ -45,10 +45,13 @@
 	h.metrics.Tier(context.Background(), q.Route.Name, string(answer.Status), duration)
 }
 
-// writeAnswer writes the answer and returns its HTTP status, 0 if the caller has left and nothing was written.
+// writeAnswer writes the answer and returns its HTTP status, 0 if the caller has left.
 func (h *Handler) writeAnswer(w http.ResponseWriter, q *dispatch.Query, answer *dispatch.Answer) int {
 	switch {
 	case answer.Status == dispatch.Abandoned:
+		// A caller that has only ended its side of the connection reads on. Without an answer, the server would write an empty success.
+		writeText(w, http.StatusBadGateway, answer.Reason)
+
 		return 0
 	case answer.Status == dispatch.Answered && q.Route.Gather != nil:
 		h.codec.SetParts(w.Header(), answer.Stamps, answer.Missing)
