--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -26,7 +26,7 @@
 
 const (
 	// minimumCrashes is the number of crashed targets from which a query is blocked, and minimumAlone the number of those that it
-	// crashed in trials.
+	// crashed in trials. The first block is short, so that one trial suffices.
 	minimumCrashes = 2
 	minimumAlone   = 1
 	// strongCrashes is the number of crashed targets from which a record is stored. A query that was only lost with others rarely has it.
@@ -43,10 +43,10 @@
 	maximumBlockTime = 24 * time.Hour
 	// minimumBlockMemory is the shortest time for which a query is a suspect after a block.
 	minimumBlockMemory = 20 * time.Minute
-	// triersDoublingTime is the time in which the number of instances that may try a suspect doubles.
-	triersDoublingTime = 2 * time.Second
-	// maxTriersDoublings bounds that number.
-	maxTriersDoublings = 20
+	// trialInstancesDoublingTime is the time in which the number of instances that may try a suspect doubles.
+	trialInstancesDoublingTime = 2 * time.Second
+	// maxTrialInstancesDoublings bounds that number.
+	maxTrialInstancesDoublings = 20
 	// maximumTrialTime is the time after which a trial that has not ended does not keep the next one from beginning.
 	maximumTrialTime = 30 * time.Second
 	// maxRecords is the maximum number of records.
@@ -79,10 +79,11 @@
 	Waiting time.Duration
 }
 
-// Triers returns the number of instances of the fleet that may try a query that is sent with care. It grows until one of them receives the
-// query, so that a fleet of any size soon clears a query that is not guilty. A guilty query that is sent often is tried by one instance.
-func (v *Verdict) Triers() int {
-	return 1 << min(v.Waiting/triersDoublingTime, maxTriersDoublings)
+// TrialInstances returns the number of instances of the fleet that may try a query that is sent with care. It grows until one of them
+// receives the query, so that a fleet of any size soon clears a query that is not guilty. A guilty query that is sent often is tried by one
+// instance.
+func (v *Verdict) TrialInstances() int {
+	return 1 << min(v.Waiting/trialInstancesDoublingTime, maxTrialInstancesDoublings)
 }
 
 // Crashed reports whether the query has crashed a process, as far as is known.
@@ -142,12 +143,12 @@
 	case now.Before(r.blockedUntil):
 		return Verdict{Mode: Blocked, Left: r.blockedUntil.Sub(now)}
 	default:
-		tryable := r.crashedAt
-		if r.blockedUntil.After(tryable) {
-			tryable = r.blockedUntil
+		since := r.crashedAt
+		if r.blockedUntil.After(since) {
+			since = r.blockedUntil
 		}
 
-		return Verdict{Mode: Careful, Crashes: slices.Clone(r.Crashes), Waiting: now.Sub(tryable)}
+		return Verdict{Mode: Careful, Crashes: slices.Clone(r.Crashes), Waiting: now.Sub(since)}
 	}
 }
 
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -121,11 +121,11 @@
 	})
 
 	DescribeTable("may be tried by more instances the longer it has waited for one, so that a large fleet does not refuse it for minutes",
-		func(after time.Duration, triers int) {
+		func(after time.Duration, instances int) {
 			l := quarantine.NewList()
 			l.RecordCrash(query, crash(1, false), start)
 			verdict := l.Verdict(query, start.Add(after))
-			Expect(verdict.Triers()).To(Equal(triers))
+			Expect(verdict.TrialInstances()).To(Equal(instances))
 		},
 		Entry("one at first, so that a guilty one that is sent often ends one target", 1900*time.Millisecond, 1),
 		Entry("two after two seconds", 2*time.Second, 2),
--- a/internal/tier/caller/respond.go
+++ b/internal/tier/caller/respond.go
@@ -57,7 +57,7 @@
 		h.codec.SetParts(w.Header(), answer.Stamps, answer.Missing)
 
 		return writeBody(w, http.StatusOK, answer.Records)
-	case answer.Result != nil && (answer.Status == dispatch.Answered || answer.Result.Failure()):
+	case answer.Result != nil && (answer.Status == dispatch.Answered || answer.Result.ForwardableError()):
 		return h.writeResult(w, answer.Result)
 	case answer.Status == dispatch.NotRun:
 		left := q.Deadline.Sub(h.timers.Now())
--- a/internal/tier/control/suspects_test.go
+++ b/internal/tier/control/suspects_test.go
@@ -101,7 +101,7 @@
 		Eventually(func() bool {
 			verdict := f.instances["new"].suspects.Verdict(query, time.Now())
 
-			return verdict.Mode == quarantine.Careful && f.instances["new"].fleet.IsResponsible(query.String(), verdict.Triers())
+			return verdict.Mode == quarantine.Careful && f.instances["new"].fleet.IsResponsible(query.String(), verdict.TrialInstances())
 		}, "10s", "10ms").Should(BeTrue())
 	})
 
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -264,7 +264,7 @@
 	}
 	if q.forwarded {
 		// A request that is not idempotent must not run twice, so the error response of a target that ran it is the final answer.
-		return r.Success() && r.Reply.Stamp != "" || !q.request.Route.Idempotent && r.Failure()
+		return r.Success() && r.Reply.Stamp != "" || !q.request.Route.Idempotent && r.ForwardableError()
 	}
 
 	return r.Success() && r.Reply.Stamp != "" && q.stamps.Add(r.Reply.Stamp)
@@ -358,7 +358,7 @@
 	wait := farFuture
 	if q.careful {
 		if q.active == 0 && len(q.held) > 0 {
-			wait = q.settling(now)
+			wait = q.settleTimeLeft(now)
 		}
 
 		return max(wait, 0)
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -79,7 +79,7 @@
 	// Reason says why there is no better answer, or why the query ended when it did.
 	Reason string
 	// Result is the result of a forwarded request: the response that answers it or, if every attempt failed, the last result, which is
-	// passed on only if it is a Failure. It is nil if there was no attempt.
+	// passed on only if it is a ForwardableError. It is nil if there was no attempt.
 	Result *target.Result
 	// Stamps holds the stamps of the parts of a gathered query, Missing is the number of shards without a part, and Records are
 	// the merged records.
@@ -137,7 +137,7 @@
 	groups   func(q *Query) []Group
 	// suspects are the queries that seem to crash targets.
 	suspects *quarantine.List
-	mayTry   func(f suspect.Fingerprint, triers int) bool
+	mayTry   func(f suspect.Fingerprint, instances int) bool
 
 	mu          sync.Mutex
 	trackers    map[string]*hedging.Tracker
@@ -163,8 +163,8 @@
 }
 
 // WithSuspects sets the list of the queries that seem to crash targets. A suspect is sent only if mayTry returns true: this instance is one
-// of the given number that may try it.
-func WithSuspects(suspects *quarantine.List, mayTry func(f suspect.Fingerprint, triers int) bool) Option {
+// of the given number of instances that may try it.
+func WithSuspects(suspects *quarantine.List, mayTry func(f suspect.Fingerprint, instances int) bool) Option {
 	return func(d *Dispatcher) { d.suspects, d.mayTry = suspects, mayTry }
 }
 
--- a/internal/tier/dispatch/suspicion.go
+++ b/internal/tier/dispatch/suspicion.go
@@ -70,7 +70,7 @@
 	}
 
 	verdict := d.suspects.Verdict(q.fingerprint(), d.timers.Now())
-	if verdict.Mode == quarantine.Careful && !d.mayTry(q.fingerprint(), verdict.Triers()) {
+	if verdict.Mode == quarantine.Careful && !d.mayTry(q.fingerprint(), verdict.TrialInstances()) {
 		verdict.Mode = quarantine.Blocked
 	}
 
@@ -288,15 +288,15 @@
 	q.held = append(q.held, i)
 }
 
-// settling returns how much longer the query waits before it is sent again after a crash.
-func (q *activeQuery) settling(now time.Time) time.Duration {
+// settleTimeLeft returns how much longer the query waits before it is sent again after a crash.
+func (q *activeQuery) settleTimeLeft(now time.Time) time.Duration {
 	return q.crashedAt.Add(quarantine.SettleTime).Sub(now)
 }
 
 // startNextHeld sends one of the subrequests that wait, once no other attempt is under way. It is chosen at random, so that queries that
 // were lost with the same targets are not sent to the same target again.
 func (q *activeQuery) startNextHeld(now time.Time) {
-	if q.settling(now) > 0 {
+	if q.settleTimeLeft(now) > 0 {
 		return
 	}
 	if q.crashes > 0 && q.d.suspects.Verdict(q.request.fingerprint(), now).Mode == quarantine.Blocked {
--- a/internal/tier/dispatch/unusable_test.go
+++ b/internal/tier/dispatch/unusable_test.go
@@ -31,7 +31,7 @@
 			r.Gather, r.Service, r.Idempotent = nil, "s", idempotent
 			answer := d.Forward(context.Background(), query(r))
 			Expect(answer.Status).To(Equal(dispatch.Unknown))
-			Expect(answer.Result.Failure()).To(BeFalse())
+			Expect(answer.Result.ForwardableError()).To(BeFalse())
 			Expect(a.requests.Load() + b.requests.Load()).To(BeEquivalentTo(attempts))
 		},
 		Entry("a success in an encoding that was not asked for", false, 1, 200, "Stamp", "s", "Content-Encoding", "gzip"),
@@ -51,6 +51,6 @@
 		r.Gather, r.Service, r.Idempotent = nil, "s", false
 		answer := d.Forward(context.Background(), query(r))
 		Expect(answer.Status).To(Equal(dispatch.Answered))
-		Expect(answer.Result.Failure()).To(BeTrue())
+		Expect(answer.Result.ForwardableError()).To(BeTrue())
 	})
 })
--- a/internal/tier/handover/group.go
+++ b/internal/tier/handover/group.go
@@ -14,7 +14,7 @@
 // Groups returns the shards of a query that peers in other availability zones gather, because the replicas of these shards are in
 // those zones.
 func (h *Handover) Groups(q *dispatch.Query) []dispatch.Group {
-	if !fitsMessages(q) {
+	if !canHandOver(q) {
 		return nil
 	}
 	now := h.timers.Now()
--- a/internal/tier/handover/handover.go
+++ b/internal/tier/handover/handover.go
@@ -170,7 +170,7 @@
 func (h *Handover) Gather(ctx context.Context, q *dispatch.Query) dispatch.Answer {
 	var tried []string
 	for range maxPeerAttempts {
-		if !fitsMessages(q) {
+		if !canHandOver(q) {
 			break
 		}
 		instance, verdict := h.choosePeer(q, tried)
@@ -203,8 +203,8 @@
 	return h.gather(ctx, q)
 }
 
-// fitsMessages reports whether a query is small enough to be handed over.
-func fitsMessages(q *dispatch.Query) bool {
+// canHandOver reports whether a query fits into the messages to peers.
+func canHandOver(q *dispatch.Query) bool {
 	return len(q.Head) <= peer.MaxHeadBytes && len(q.Body) <= peer.MaxBodyBytes
 }
 
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -91,10 +91,10 @@
 	return r.Outcome == Answered && r.Status >= 200 && r.Status < 300
 }
 
-// Failure reports whether the result is a response with an error that can be passed on to the caller, because it claims nothing that is not
+// ForwardableError reports whether the result is a response with an error that can be passed on to the caller, because it claims nothing that is not
 // known: not the target's body in an encoding that the target was not asked for, and not a status by which callers may send the request
 // again because it was not run. A target that has not run the request says so in a header.
-func (r *Result) Failure() bool {
+func (r *Result) ForwardableError() bool {
 	if r.Outcome != Answered || r.Success() || r.Encoded() {
 		return false
 	}
@@ -109,7 +109,7 @@
 // Encoded reports whether the body has an encoding, which no request asks for.
 func (r *Result) Encoded() bool { return r.Header.Get("Content-Encoding") != "" }
 
-// targetFailure reports whether the result counts as a failure of the target. A lack of free connections does not: this instance's
+// targetForwardableError reports whether the result counts as a failure of the target. A lack of free connections does not: this instance's
 // own connection limit causes it. Neither does a lack of memory, unless the response is large.
 func (r *Result) targetFailure() bool {
 	return !r.Success() && !errors.Is(r.Err, errNoConnection) && !errors.Is(r.Err, errTargetAway) && !errors.Is(r.Err, errReplyMemory)
