--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -45,7 +45,7 @@
 	minimumBlockMemory = 20 * time.Minute
 	// trialInstancesDoublingTime is the time in which the number of instances that may try a suspect doubles.
 	trialInstancesDoublingTime = 2 * time.Second
-	// maxTrialInstancesDoublings bounds that number.
+	// maxTrialInstancesDoublings is the maximum number of these doublings.
 	maxTrialInstancesDoublings = 20
 	// maximumTrialTime is the time after which a trial that has not ended does not keep the next one from beginning.
 	maximumTrialTime = 30 * time.Second
--- a/internal/tier/caller/handler.go
+++ b/internal/tier/caller/handler.go
@@ -288,7 +288,7 @@
 }
 
 // isHopByHop reports whether a header applies to a single connection and is not forwarded. Content-Length is one of them, because
-// that of the body that is sent is written with it.
+// a new one is written together with the body.
 func isHopByHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -109,7 +109,7 @@
 // Encoded reports whether the body has an encoding, which no request asks for.
 func (r *Result) Encoded() bool { return r.Header.Get("Content-Encoding") != "" }
 
-// targetForwardableError reports whether the result counts as a failure of the target. A lack of free connections does not: this instance's
+// targetFailure reports whether the result counts as a failure of the target. A lack of free connections does not: this instance's
 // own connection limit causes it. Neither does a lack of memory, unless the response is large.
 func (r *Result) targetFailure() bool {
 	return !r.Success() && !errors.Is(r.Err, errNoConnection) && !errors.Is(r.Err, errTargetAway) && !errors.Is(r.Err, errReplyMemory)
