control: an instance counts as cut off from its last report, not from a later update

Cause: the leader drops an instance 3.5 s after its last report, and the instance counted as cut off 3 s after the last update. A report is sent with an update, but at most each 0.9 s: an update that arrives up to 0.9 s after the last report moves the instance's moment behind the leader's. The others then use its part of a target's limit while it still uses it, for up to 0.4 s. A new session has the same gap: its first update arrives 0.9 s or more before its first report.

Change: the instance remembers when it last sent a report, and counts as cut off 3 s after it, too. The reports are asked for only when they are sent.

The old test asks for the demand of the two others now, where it asked for less than 25, which a leader without reports (0) met as well.

--- a/internal/decision/pacing/pacing.go
+++ b/internal/decision/pacing/pacing.go
@@ -69,7 +69,7 @@
 	Demand      float64
 	TotalDemand float64
 	Claimed     bool
-	// CutOff is set if this instance has received nothing from the leader recently, so that the others may use its share by demand.
+	// CutOff is set if this instance has had no contact to the leader recently, so that the others may use its share by demand.
 	CutOff bool
 }
 
--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -45,7 +45,7 @@
 	Leader uint64
 	// Version is the version of the configuration in force at the instance, 0 if it has none.
 	Version uint64
-	// Reports returns what the instance reports during the session about the rate limits of targets.
+	// Reports returns what the instance reports about the rate limits of targets. It is called right before that is sent.
 	Reports func() []ratelimit.Report
 	// Suspects returns what the instance reports about queries that seem to crash targets, after a cursor: at the begin of the session
 	// all records, later those that it has changed itself. It also returns the next cursor, and a channel that is closed at the next
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -102,9 +102,11 @@
 	// storeReadAt is when the followed leader last read the store. storeFailedAt is when a call of this instance last failed.
 	storeReadAt   time.Time
 	storeFailedAt time.Time
-	// updatedAt is when the last update of a leader arrived. limitReports is what this instance reports to the leader.
-	updatedAt    time.Time
+	// updatedAt is when the last update of a leader arrived.
+	updatedAt time.Time
+	// limitReports is what this instance reports to the leader. reportedAt is when it last sent that, zero while there is nothing to report.
 	limitReports []ratelimit.Report
+	reportedAt   time.Time
 	// leavingReports are the targets that this instance reports as leaving. reportsChanged is closed when there are new ones.
 	leavingReports []*directory.Target
 	reportsChanged chan struct{}
@@ -308,7 +310,7 @@
 	}()
 	f.mu.Lock()
 	request := &FollowRequest{Instance: f.self, Register: !f.leaving, Leader: term, Version: f.follow.Version()}
-	request.Reports, request.Suspects, request.Leaving = f.currentReports, f.suspectReports, f.currentLeaving
+	request.Reports, request.Suspects, request.Leaving = f.reportsToSend, f.suspectReports, f.currentLeaving
 	f.mu.Unlock()
 	var began time.Time
 	err := f.follow.Follow(ctx, l.Peer, request, func(u *Update) error {
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -81,6 +81,8 @@
 	// no change.
 	configurationCut atomic.Bool
 	watchDeaf        atomic.Bool
+	// lastReport is the time in Unix nanoseconds at which the leader received the last report about rate limits.
+	lastReport atomic.Int64
 	// lostAll is set once the instance has dropped all its targets.
 	lostAll atomic.Bool
 }
@@ -269,6 +271,7 @@
 			if now := time.Now(); now.Sub(reportedAt) >= 900*time.Millisecond {
 				reportedAt = now
 				leader.fleet.Feed().Report(r.Instance.Name, r.Reports())
+				i.lastReport.Store(time.Now().UnixNano())
 			}
 
 			return receive(u)
--- a/internal/tier/control/limits.go
+++ b/internal/tier/control/limits.go
@@ -15,8 +15,8 @@
 	limitPrefix = ownPrefix + "limits/"
 	// reportExpiry is the age from which a report of an instance is ignored. Instances report once a second while there is a limit.
 	reportExpiry = 3500 * time.Millisecond
-	// cutOffAfter is the time without an update of the leader after which an instance counts as cut off. It is shorter than
-	// reportExpiry, so that an instance uses less of a limit before the others use more.
+	// cutOffAfter is the time without an update of the leader, or without a report to it, after which an instance counts as cut off. It
+	// is shorter than reportExpiry, so that an instance uses less of a limit before the others use more.
 	cutOffAfter = 3 * time.Second
 	// contactTimeout is the time without an update of the leader up to which an instance is in contact. The leader sends one each second.
 	contactTimeout = 1500 * time.Millisecond
@@ -128,12 +128,16 @@
 	f.feed.Report(f.self.Name, reports)
 }
 
-// CutOff reports whether this instance has received nothing from the leader recently.
+// CutOff reports whether this instance has had no contact to the leader recently. The leader counts from the last report, after which an
+// update may have arrived.
 func (f *Fleet) CutOff() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.mode == leading {
+		return false
+	}
 
-	return f.mode != leading && f.timers.Since(f.updatedAt) > cutOffAfter
+	return f.timers.Since(f.updatedAt) > cutOffAfter || !f.reportedAt.IsZero() && f.timers.Since(f.reportedAt) > cutOffAfter
 }
 
 // IsResponsible reports whether this instance is one of those of the fleet that may do what only some may at a time: the given number of those
@@ -183,10 +187,14 @@
 	}
 }
 
-// currentReports returns the reports to send to the leader.
-func (f *Fleet) currentReports() []ratelimit.Report {
+// reportsToSend returns the reports that are sent to the leader now.
+func (f *Fleet) reportsToSend() []ratelimit.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reportedAt = time.Time{}
+	if len(f.limitReports) > 0 {
+		f.reportedAt = f.timers.Now()
+	}
 
 	return slices.Clone(f.limitReports)
 }
--- a/internal/tier/control/limits_test.go
+++ b/internal/tier/control/limits_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/world/ratelimit"
 )
 
@@ -26,6 +27,9 @@
 	}()
 }
 
+// sinceReport returns the time since the leader received the last report of an instance.
+func (i *followingInstance) sinceReport() time.Duration { return time.Since(time.Unix(0, i.lastReport.Load())) }
+
 // expectLimit waits until all instances know a limit of a target. A demand is passed on only when it has changed by more than a few
 // percent.
 func (f *followingFleet) expectLimit(id string, perSecond, demand float64, timeout string) {
@@ -133,7 +137,27 @@
 		Expect(cut.fleet.CutOff()).To(BeFalse())
 		cut.isolated.Store(true)
 		Eventually(func() float64 { return f.instances[leader].fleet.View().Limits["a"].Demand }, "8s", "20ms").
-			Should(BeNumerically("<", 25))
+			Should(And(BeNumerically(">", 15), BeNumerically("<", 25)))
+		Expect(cut.fleet.CutOff()).To(BeTrue())
+	})
+
+	It("is not used by an instance beyond its last report, although an update arrived between that report and a cut", func() {
+		f := newFollowingFleet("a", "b", "c")
+		leader := f.settle()
+		var cut *followingInstance
+		for _, i := range f.all() {
+			i.reportEachSecond(reportOf(20, 10, 0))
+			if i.name != leader {
+				cut = i
+			}
+		}
+		f.expectLimit("a", 20, 30, "8s")
+		Eventually(cut.sinceReport, "4s", "1ms").Should(And(BeNumerically(">", 700*time.Millisecond), BeNumerically("<", 850*time.Millisecond)))
+		f.instances[leader].fleet.Feed().SetConfiguration(&control.StoredConfiguration{Version: 2, Value: []byte("2")})
+		Eventually(cut.configuration.Version, "1s", "1ms").Should(BeEquivalentTo(2))
+		cut.isolated.Store(true)
+		// The leader drops a report after 3.5 s.
+		Eventually(cut.sinceReport, "4s", "1ms").Should(BeNumerically(">", 3450*time.Millisecond))
 		Expect(cut.fleet.CutOff()).To(BeTrue())
 	})
 
--- a/internal/tier/peer/follow.go
+++ b/internal/tier/peer/follow.go
@@ -402,12 +402,15 @@
 		if err := receive(update); err != nil {
 			return err
 		}
+		sinceAck := c.timers.Since(lastAck)
+		if sinceAck < reportInterval {
+			continue
+		}
 		var reports []ratelimit.Report
 		if r.Reports != nil {
 			reports = r.Reports()
 		}
-		sinceAck := c.timers.Since(lastAck)
-		if sinceAck < ackInterval && (sinceAck < reportInterval || len(reports) == 0) {
+		if sinceAck < ackInterval && len(reports) == 0 {
 			continue
 		}
 		lastAck = c.timers.Now()
--- a/internal/tier/target/limits.go
+++ b/internal/tier/target/limits.go
@@ -22,7 +22,7 @@
 	Listed    int
 	// Position is the position of this instance among all, from 0 to less than 1.
 	Position float64
-	// CutOff is set if this instance has received nothing from the leader recently.
+	// CutOff is set if this instance has had no contact to the leader recently.
 	CutOff bool
 }
 
