platform: a registry that takes longer to read than one call is read over several

Cause: each read of the registry began anew and had to end within the 0.7 s of one call. The whole registry, values of other writers included, was held in memory before it was decoded.

Change: a listing that does not end in time is continued by the next call, which also reads the changes since the listing began. A listing that makes progress is no outage, after which targets that are gone would stay in use.

--- a/Makefile
+++ b/Makefile
@@ -17,16 +17,12 @@
 HANDOVER := github.com/hickorynotch/hickorynotch/internal/tier/handover
 RED_HANDOVER := waits for a peer in a region that is farther away than usual, and tells it the time that its answer takes to return
 
-PLATFORM := github.com/hickorynotch/hickorynotch/platform
-RED_PLATFORM := lists the targets in time beside large entries of another writer that take longer to read than a call may take
-
 FLEET := github.com/hickorynotch/hickorynotch/internal/proof/fleet
 RED_FLEET := guards against an instance that keeps its old configuration after it was frozen for minutes
 
 test-but-red:
-	go test $$(go list ./... | grep -v -e '^$(HANDOVER)$$' -e '^$(PLATFORM)$$' -e '^$(FLEET)$$')
+	go test $$(go list ./... | grep -v -e '^$(HANDOVER)$$' -e '^$(FLEET)$$')
 	go test $(HANDOVER) -ginkgo.skip '$(RED_HANDOVER)'
-	go test $(PLATFORM) -ginkgo.skip '$(RED_PLATFORM)'
 	go test $(FLEET) -ginkgo.skip '$(RED_FLEET)'
 
 # Runs the whole system as separate processes on loopback and demonstrates its main functions.
--- a/internal/tier/control/limits_test.go
+++ b/internal/tier/control/limits_test.go
@@ -28,7 +28,9 @@
 }
 
 // sinceReport returns the time since the leader received the last report of an instance.
-func (i *followingInstance) sinceReport() time.Duration { return time.Since(time.Unix(0, i.lastReport.Load())) }
+func (i *followingInstance) sinceReport() time.Duration {
+	return time.Since(time.Unix(0, i.lastReport.Load()))
+}
 
 // expectLimit waits until all instances know a limit of a target. A demand is passed on only when it has changed by more than a few
 // percent.
--- a/internal/tier/control/store.go
+++ b/internal/tier/control/store.go
@@ -17,6 +17,8 @@
 	// ErrRejected means that the store has rejected the content of a call, which had no effect, and would reject it again. It comes with
 	// ErrNoEffect.
 	ErrRejected = errors.New("the store rejects the content of the call")
+	// ErrIncomplete means that a listing did not end in time, and that the next call goes on with it.
+	ErrIncomplete = errors.New("the listing is not complete yet")
 	// ErrRestored means that a transaction was applied to a store that has come back from an older copy, where the expected revisions
 	// may be those of other values.
 	ErrRestored = errors.New("the store has come back from an older copy")
--- a/internal/tier/control/targets.go
+++ b/internal/tier/control/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
@@ -22,7 +23,8 @@
 	Faults []error
 }
 
-// TargetSource lists the registry of targets. The function field must be set before the first use.
+// TargetSource lists the registry of targets. List fails with ErrIncomplete if it needs more time than it has. The function field must be set
+// before the first use.
 type TargetSource struct {
 	List func(ctx context.Context) (Listed, error)
 }
@@ -103,7 +105,8 @@
 // Read lists the registry once and replaces the directory by the result.
 func (t *Targets) Read(ctx context.Context) error {
 	err := t.read(ctx)
-	if err != nil && ctx.Err() == nil {
+	// A registry that takes several reads is no outage, in which entries expire.
+	if err != nil && ctx.Err() == nil && !errors.Is(err, ErrIncomplete) {
 		t.health.recordFailure(err)
 	}
 
