control: an instance that reads the mirror in the store does not take it for confirmed

What callers could see: an instance that cannot reach the leader, and reads the leader's mirror in the store instead, goes on using targets that drain while the leader cannot write the mirror (rejected or lost writes beside renewals that succeed).

Cause: such an instance took the mirror for confirmed at each moment at which its view of the store was up to date. The mirror does not say when the leader last read the registry.

Between these reads it takes from the mirror what is new, but nothing back: a target that drains, that has left or that is newer stays so.

Measured: tier/control, "do not count as passed on by an instance that cannot reach the leader ..." fails in 3 of 3 runs before and passes in 3 of 3 now; the whole package passes.

--- a/internal/tier/control/control_test.go
+++ b/internal/tier/control/control_test.go
@@ -203,6 +203,30 @@
 		Expect(current.Len()).To(Equal(1))
 	})
 
+	It("does not take back what it has read itself because a mirror is older, and takes from the mirror what is new", func() {
+		at := func(port int) func(*directory.Target) {
+			return func(t *directory.Target) { t.Address = netip.AddrPortFrom(t.Address.Addr(), uint16(port)) }
+		}
+		since := func(started int64) func(*directory.Target) {
+			return func(t *directory.Target) { t.Started = time.UnixMilli(started) }
+		}
+		r := &targetRegistry{}
+		t := newTargets(r)
+		r.set(nil, target("gone", at(1)), target("drains", at(2)), target("restarted", at(3), since(1)))
+		Expect(t.Read(context.Background())).To(Succeed())
+		mirror := directory.New(append(r.targets, target("new", at(4)), target("drains-since", at(5), draining)))
+		r.set(nil, target("drains", at(2), draining), target("restarted", at(3), since(2)), target("read", at(6)),
+			target("drains-since", at(5)))
+		Expect(t.Read(context.Background())).To(Succeed())
+		t.AdoptMirror(mirror)
+		var found []string
+		for known := range current.All {
+			found = append(found, fmt.Sprintf("%s draining=%t started=%d", known.ID, known.Draining, max(known.Started.UnixMilli(), 0)))
+		}
+		Expect(found).To(ConsistOf("drains draining=true started=0", "restarted draining=false started=2", "read draining=false started=0",
+			"new draining=false started=0", "drains-since draining=true started=0"))
+	})
+
 	It("keeps targets whose entries expired during an outage of the store until they have had time to register again", func() {
 		r := &targetRegistry{}
 		t := newTargets(r)
--- a/internal/tier/control/departed.go
+++ b/internal/tier/control/departed.go
@@ -64,14 +64,46 @@
 		if !d.admits(t) {
 			continue
 		}
-		known, ok := current.Target(t.ID)
-		if !t.Draining && (leaving.has(t) || ok && known.Draining && known.Started.Equal(t.Started)) {
-			draining := *t
-			draining.Draining = true
-			t = &draining
+		if leaving.has(t) || drains(current, t) {
+			t = asDraining(t)
 		}
 		admitted = append(admitted, t)
 	}
 
 	return admitted
 }
+
+// filterMirror returns the targets of a mirror that can be used, parts of which may be older than the current directory.
+func (d departures) filterMirror(mirror, current *directory.Directory) []*directory.Target {
+	filtered := make([]*directory.Target, 0, mirror.Len())
+	for t := range mirror.All {
+		if departed := d[t.ID]; departed != nil && departed.started.Equal(t.Started) {
+			continue
+		}
+		if known, ok := current.Target(t.ID); ok && known.Started.After(t.Started) {
+			t = known
+		} else if drains(current, t) {
+			t = asDraining(t)
+		}
+		filtered = append(filtered, t)
+	}
+
+	return filtered
+}
+
+// drains reports whether the directory has the target's process as draining.
+func drains(d *directory.Directory, t *directory.Target) bool {
+	known, ok := d.Target(t.ID)
+
+	return ok && known.Draining && known.Started.Equal(t.Started)
+}
+
+func asDraining(t *directory.Target) *directory.Target {
+	if t.Draining {
+		return t
+	}
+	draining := *t
+	draining.Draining = true
+
+	return &draining
+}
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -266,14 +266,11 @@
 	return f.storeReadAt.Add(time.Duration(retentionFraction * float64(f.drainBound)))
 }
 
-// targetsConfirmedAt returns when the leader last read the registry of targets, as far as this instance knows. That is now while it reads
-// the mirror of a leader in the store.
+// targetsConfirmedAt returns when the leader last read the registry of targets, as far as this instance knows. The mirror in the store does not
+// say so: the leader may be unable to write it.
 func (f *Fleet) targetsConfirmedAt() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.mode == direct && f.upToDate && f.leader.Synced {
-		return f.timers.Now()
-	}
 
 	return f.storeReadAt
 }
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -48,6 +48,8 @@
 	notify               func(ctx context.Context, n Notice)
 	// registryReadAt is when this instance last read the registry of targets without leading.
 	registryReadAt time.Time
+	// mirrorRevision is the revision of the mirror at that time, or when it was adopted since.
+	mirrorRevision uint64
 	// rejected are the changes that the store has rejected. They are kept over terms, so that they do not end each term that begins.
 	rejected rejections
 }
@@ -112,8 +114,13 @@
 				l.awaitLeader(ctx, mirrorTimeout)
 			}
 		case view.UpToDate && view.Targets != nil:
-			if !l.registryReadAt.After(l.fleet.targetsConfirmedAt()) {
+			switch {
+			case !l.registryReadAt.After(l.fleet.targetsConfirmedAt()):
 				l.targets.Adopt(view.Targets)
+			case l.fleet.currentMode() == direct && view.Revision > l.mirrorRevision:
+				// The leader has written a change since this instance read the registry itself.
+				l.mirrorRevision = view.Revision
+				l.targets.AdoptMirror(view.Targets)
 			}
 			l.awaitViewChange(ctx, l.untilOverdue()+rand.N(overdueSpread))
 		default:
@@ -155,10 +162,10 @@
 
 // readRegistry reads the registry of targets.
 func (l *Leadership) readRegistry(ctx context.Context) error {
-	started := l.timers.Now()
+	started, mirrorRevision := l.timers.Now(), l.fleet.View().Revision
 	err := l.targets.Read(ctx)
 	if err == nil {
-		l.registryReadAt = started
+		l.registryReadAt, l.mirrorRevision = started, mirrorRevision
 	}
 
 	return err
--- a/internal/tier/control/rejection_test.go
+++ b/internal/tier/control/rejection_test.go
@@ -162,4 +162,24 @@
 		f.registry.set(nil, target("a", draining))
 		f.expectDraining("a")
 	})
+
+	It("do not count as passed on by an instance that cannot reach the leader and reads the mirror in the store", func() {
+		f := newFollowingFleet(names(4)...)
+		leader := f.settle()
+		f.expectTargets(1, "5s")
+		var alone *followingInstance
+		for _, i := range f.all() {
+			if i.name != leader {
+				alone = i
+			}
+		}
+		alone.isolated.Store(true)
+		f.registry.set(nil, target("a"), target("b"))
+		f.expectTargets(2, "10s")
+		// The next change is not made at a moment that follows from the last one.
+		time.Sleep(drainBound)
+		f.rejectWrites(func(key string) bool { return strings.HasPrefix(key, "hickorynotch/targets/") }, errCut)
+		f.registry.set(nil, target("a", draining), target("b"))
+		f.expectDraining("a")
+	})
 })
--- a/internal/tier/control/targets.go
+++ b/internal/tier/control/targets.go
@@ -82,6 +82,12 @@
 	t.onAdopted(d)
 }
 
+// AdoptMirror adds what a mirror says to the directory. Parts of the mirror may be older than what this instance has read, so that targets that
+// it lacks stay until the next read.
+func (t *Targets) AdoptMirror(mirror *directory.Directory) {
+	t.Adopt(directory.New(t.retainMissing(t.departures.filterMirror(mirror, t.current))))
+}
+
 // Seed fills an empty directory with the targets that the fleet knew before this process started. As after an outage, targets that
 // are missing from the registry stay in use for missingTargetGrace, because entries may have expired while all instances and the
 // store were down.
