control: a change that the store rejects does not count as a failure of the store

What callers could see: while the leader finds out which of its changes the store rejects, up to six rejections in a row, its other calls wait for up to 2 s each, the renewal of its lease and the read of the registry among them.

Cause: the circuit breaker in front of the store counted each error but four as a failure, and doubles its delay with each.

Change: a rejection is an answer of a working store, as a conflict is, and so is a listing that goes on with the next call. An instance without a leader goes on with such a listing at once.

Measured: tier/control, "Gate does not delay other calls ..." fails with both entries before and passes now.

--- a/internal/tier/control/control_test.go
+++ b/internal/tier/control/control_test.go
@@ -161,6 +161,8 @@
 	lists   int
 	// generation is that of the store.
 	generation uint64
+	// twoCalls makes each listing need two calls.
+	twoCalls bool
 }
 
 func (r *targetRegistry) set(err error, targets ...*directory.Target) {
@@ -178,10 +180,15 @@
 }
 
 func (r *targetRegistry) source() control.TargetSource {
+	begun := false
+
 	return control.TargetSource{List: func(context.Context) (control.Listed, error) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.lists++
+		if begun = r.twoCalls && !begun; begun {
+			return control.Listed{}, control.ErrIncomplete
+		}
 
 		return control.Listed{Targets: r.targets, Generation: r.generation}, r.err
 	}}
--- a/internal/tier/control/gate.go
+++ b/internal/tier/control/gate.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// release records the result of a call and wakes the calls that wait. Any answer of the store, including a conflict, shows that the
-// store works again.
+// release records the result of a call and wakes the calls that wait. Any answer of the store, including a conflict, a rejection and a part of
+// a listing, shows that the store works again.
 func (g *Gate) release(err error, longPoll bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -85,7 +85,7 @@
 		g.probing = false
 	}
 	answered := err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) || errors.Is(err, ErrCompacted) ||
-		errors.Is(err, ErrRestored)
+		errors.Is(err, ErrRestored) || errors.Is(err, ErrRejected) || errors.Is(err, ErrIncomplete)
 	switch {
 	case answered:
 		g.failing, g.probeDelay = false, 0
--- a/internal/tier/control/gate_test.go
+++ b/internal/tier/control/gate_test.go
@@ -61,6 +61,29 @@
 	})
 })
 
+// errSlowListing is the error of a listing that has made progress.
+var errSlowListing = errors.Join(control.ErrIncomplete, context.DeadlineExceeded)
+
+var _ = DescribeTable("Gate does not delay other calls, such as the renewal of a lease, after",
+	func(answer error) {
+		gate := control.NewGate(timer.New(), func() bool { return false })
+		store := gate.KeyValueStore(control.KeyValueStore{
+			Commit: func(context.Context, control.Transaction) (uint64, error) { return 0, answer },
+		})
+		targets := gate.Targets(control.TargetSource{List: func(context.Context) (control.Listed, error) { return control.Listed{}, answer }})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		for range 50 {
+			_, err := store.Commit(ctx, control.Transaction{})
+			Expect(err).To(MatchError(answer))
+			_, err = targets.List(ctx)
+			Expect(err).To(MatchError(answer))
+		}
+	},
+	Entry("a change that the store rejects", rejected),
+	Entry("a listing that goes on with the next call", errSlowListing),
+)
+
 var _ = Describe("Gate with a long poll", func() {
 	It("lets other calls probe a store that failed, so that a long poll does not block the read of a new configuration", func() {
 		var failed atomic.Bool
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -127,7 +127,7 @@
 			// The view is out of date, or the leader has not synchronized the mirror yet.
 			interval := l.readInterval
 			if err := l.readRegistry(ctx); err != nil {
-				interval = minimumBackoff + rand.N(maximumBackoff)
+				interval = retryDelay(err)
 			}
 			l.awaitLeader(ctx, interval)
 		}
@@ -156,10 +156,19 @@
 	}
 	l.targets.retainUntil(l.fleet.registryRetention())
 	if err := l.readRegistry(ctx); err != nil {
-		l.awaitViewChange(ctx, minimumBackoff+rand.N(maximumBackoff))
+		l.awaitViewChange(ctx, retryDelay(err))
 	}
 }
 
+// retryDelay returns the time until the registry is read again after a read that failed. One that made progress goes on at once.
+func retryDelay(err error) time.Duration {
+	if errors.Is(err, ErrIncomplete) {
+		return 0
+	}
+
+	return minimumBackoff + rand.N(maximumBackoff)
+}
+
 // readRegistry reads the registry of targets.
 func (l *Leadership) readRegistry(ctx context.Context) error {
 	started, mirrorRevision := l.timers.Now(), l.fleet.View().Revision
--- a/internal/tier/control/rejection_test.go
+++ b/internal/tier/control/rejection_test.go
@@ -183,3 +183,19 @@
 		f.expectDraining("a")
 	})
 })
+
+var _ = Describe("A registry that cannot be read in one call", func() {
+	It("is known to all in time, also under a later leader", func() {
+		f := newFollowingFleet(names(4)...)
+		f.registry.mu.Lock()
+		f.registry.twoCalls = true
+		f.registry.mu.Unlock()
+		leader := f.settle()
+		f.registry.set(nil, target("a", draining), target("b"))
+		f.expectDraining("a")
+		f.kill(leader)
+		f.settle()
+		f.registry.set(nil, target("a", draining), target("b", draining))
+		f.expectDraining("b")
+	})
+})
