peer: decline a query of an earlier version whose head names a length without its body

Cause: the gatherer passed on the head that it received as it is.

Change: a query whose head names a length is declined, so that it is gathered where it arrived. No instance of this version sends such a head.

Measured: tier/peer, "declines a query of an earlier version ..." fails before (the query is gathered) and passes now. Two versions were not played beside each other.

--- a/internal/tier/peer/message.go
+++ b/internal/tier/peer/message.go
@@ -11,6 +11,7 @@
 package peer
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -107,6 +108,11 @@
 	return nil
 }
 
+// namesLength reports whether the head names the length of a body, which is written to targets together with the body only.
+func (r *GatherRequest) namesLength() bool {
+	return bytes.Contains(r.Head, []byte("\r\nContent-Length:"))
+}
+
 // GatherAccepted is the first response to a GatherRequest. It accepts or declines the query.
 type GatherAccepted struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/tier/peer/peer_test.go
+++ b/internal/tier/peer/peer_test.go
@@ -112,6 +112,21 @@
 		Expect(s.opened.Load()).To(BeEquivalentTo(1))
 	})
 
+	It("declines a query of an earlier version whose head names the length of a body that does not follow, which targets would wait for", func() {
+		s := startServer(func(context.Context, *dispatch.Query) dispatch.Answer {
+			Fail("the query was gathered")
+
+			return answer
+		})
+		client := peer.NewClient(timer.New())
+		defer client.Close()
+		request := newRequest()
+		request.Head = []byte("POST /page HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n")
+		reply, err := client.Gather(context.Background(), s.address, request, acceptBound, nil)
+		Expect(err).To(MatchError(peer.ErrDeclined))
+		Expect(reply.Accepted.Declined).To(Equal(peer.LengthInHead))
+	})
+
 	DescribeTable("delivers the whole body of a query, without which targets would take the next request for it", func(size int) {
 		bodies := make(chan []byte, 1)
 		s := startServer(func(_ context.Context, q *dispatch.Query) dispatch.Answer {
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -27,6 +27,8 @@
 	NotReady = "NotReady"
 	// Stopping means that the gatherer is shutting down.
 	Stopping = "Stopping"
+	// LengthInHead means that the head names the length of a body. An instance of a version before GatherBody sends such a head without the body.
+	LengthInHead = "LengthInHead"
 )
 
 // errNoBody means that a peer has not sent the body of a query in time.
@@ -159,6 +161,9 @@
 	active := int(s.active.Add(1))
 	defer s.active.Add(-1)
 	q, declined, version := s.prepare(&request)
+	if declined == "" && request.namesLength() {
+		declined = LengthInHead
+	}
 	accepted := &GatherAccepted{Declined: declined, Version: version, Mirror: s.mirrorRevision(), Active: active}
 	if err := stream.MsgSend(accepted, encoding{}); err != nil || declined != "" {
 		return err
