--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -48,7 +48,7 @@
 	notify               func(ctx context.Context, n Notice)
 	// registryReadAt is when this instance last read the registry of targets without leading.
 	registryReadAt time.Time
-	// mirrorRevision is the revision of the mirror at that time, or when it was adopted since.
+	// mirrorRevision is the revision that the mirror had at registryReadAt, or the one that this instance has adopted since then.
 	mirrorRevision uint64
 	// rejected are the changes that the store has rejected. They are kept over terms, so that they do not end each term that begins.
 	rejected rejections
--- a/internal/tier/control/limits.go
+++ b/internal/tier/control/limits.go
@@ -140,8 +140,8 @@
 	return f.timers.Since(f.updatedAt) > cutOffAfter || !f.reportedAt.IsZero() && f.timers.Since(f.reportedAt) > cutOffAfter
 }
 
-// IsResponsible reports whether this instance is one of those of the fleet that may do what only some may at a time: the given number of those
-// that the leader lists, by the highest hash of key and name. None is while it has no contact to the leader.
+// IsResponsible reports whether this instance is one of the given number of instances that may act on a key: those that the leader lists with
+// the highest hashes of key and name. An instance without contact to the leader is not responsible for any key.
 func (f *Fleet) IsResponsible(key string, number int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -187,7 +187,7 @@
 	}
 }
 
-// reportsToSend returns the reports that are sent to the leader now.
+// reportsToSend returns the reports to the leader, and records that they are sent now.
 func (f *Fleet) reportsToSend() []ratelimit.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
