dispatch: the test of targets that end at once waits until all of them are busy

Cause: the test asserts the loss of all seven targets, but stopped them once three had got a request. A target that had none until then, and refused connections afterwards, had lost nothing, so that six were recorded. Nothing is amiss in the program.

Change: the test waits until each target has got a request, as its title says. The assertions are the same.

--- a/internal/tier/dispatch/crash_test.go
+++ b/internal/tier/dispatch/crash_test.go
@@ -108,7 +108,7 @@
 			}
 
 			return busy
-		}, "2s", "5ms").Should(BeNumerically(">=", 3))
+		}, "2s", "5ms").Should(Equal(len(backends)))
 		var restarts []func()
 		for _, b := range backends {
 			restarts = append(restarts, b.stop(reply("stamp", "answer")))
