control: a leader's write whose outcome is not known cannot be made later

Cause: a write of the mirror whose reply does not come in time may still be made. The leader read the mirror again and wrote what differed, but the revision of its key, which fences its writes, stayed the same: the old write could then replace a newer one. The leader took its own write for what is stored, so that the mirror stayed wrong until the target changed again or the leader did. A target that is gone or drains comes back for the instances that read the mirror themselves. The same holds for the stored records of queries that crash targets, and for a leader whose store has come back from an older copy.

Change: while the outcome of a write is not known, the leader writes its key again before it reads the mirror, under the same term; earlier writes then fail. Its key names the term, so that the leader knows its own key again if the reply to that write is lost too. A session that names the new revision waits until the leader knows it. After a restore, the key is written before the mirror is synchronized.

--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -116,6 +116,8 @@
 	acquired, term uint64
 	// began is the revision with which the term began. It differs from term if the leader had to write its key again.
 	began uint64
+	// renewing is set while the leader may have written its key again, with a revision that it does not know yet.
+	renewing bool
 	// beganAt is when the term began.
 	beganAt time.Time
 	// sequence counts the changes. An update holds the entries whose sequence is above that of the previous update.
@@ -169,7 +171,7 @@
 func (f *Feed) acquire(revision uint64, inherited []Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.acquired, f.term = revision, 0
+	f.acquired, f.term, f.renewing = revision, 0, false
 	clear(f.entries)
 	clear(f.presences)
 	clear(f.limitReports)
@@ -202,11 +204,18 @@
 	f.reportInstances()
 }
 
+// expectRenewal makes sessions that name a later revision of the leader's key wait for renew.
+func (f *Feed) expectRenewal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renewing = true
+}
+
 // renew goes on with the term and its sessions under a later revision of the leader's key.
 func (f *Feed) renew(term uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.acquired, f.term = term, term
+	f.acquired, f.term, f.renewing = term, term, false
 	f.broadcast()
 }
 
@@ -214,7 +223,7 @@
 func (f *Feed) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.acquired, f.term = 0, 0
+	f.acquired, f.term, f.renewing = 0, 0, false
 	f.broadcast()
 }
 
@@ -437,10 +446,10 @@
 	timeout := f.timers.After(syncTimeout)
 	for {
 		f.mu.Lock()
-		acquired, term, changed := f.acquired, f.term, f.changed
+		acquired, term, renewing, changed := f.acquired, f.term, f.renewing, f.changed
 		f.mu.Unlock()
 		switch {
-		case acquired == 0, revision > max(acquired, term) && !isLaterGeneration(revision, acquired):
+		case acquired == 0, revision > max(acquired, term) && !renewing && !isLaterGeneration(revision, acquired):
 			return 0, ErrNotLeader
 		case revision > max(acquired, term):
 			// The leader may be about to write its key again.
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -70,8 +71,12 @@
 	holdCommit atomic.Pointer[func()]
 	// commitError, if set, makes some commits of the instance fail without effect.
 	commitError atomic.Pointer[commitError]
+	// lateCommits, if set, delays the commits that change the mirror.
+	lateCommits atomic.Pointer[lateCommits]
 	// loseReplies makes the commits of the instance fail although they land.
 	loseReplies atomic.Bool
+	// slowReplies delays the replies to the commits of the instance.
+	slowReplies atomic.Bool
 	// isolated cuts the instance off from the others, and storeCut from the store.
 	isolated atomic.Bool
 	storeCut atomic.Bool
@@ -163,6 +168,9 @@
 
 				return inner.Commit(context.WithoutCancel(ctx), t)
 			}
+			if late := i.lateCommits.Load(); late != nil && late.matches(&t) {
+				return 0, late.delay(ctx, t, inner.Commit)
+			}
 			if err := call(ctx); err != nil {
 				return 0, err
 			}
@@ -173,6 +181,9 @@
 			}
 
 			revision, err := inner.Commit(ctx, t)
+			if i.slowReplies.Load() {
+				time.Sleep(200 * time.Millisecond)
+			}
 			if i.loseReplies.Load() {
 				return 0, errCut
 			}
@@ -437,6 +448,18 @@
 	return f.leader()
 }
 
+// storedTerm returns what tells the term in the leader's key from others. The key's revision changes within a term.
+func (f *followingFleet) storedTerm() uint64 {
+	GinkgoHelper()
+	entry, _, err := f.store.KeyValueStore().Get(context.Background(), "hickorynotch/leader")
+	Expect(err).NotTo(HaveOccurred())
+	var leader struct{ Term uint64 }
+	Expect(json.Unmarshal(entry.Value, &leader)).To(Succeed())
+	Expect(leader.Term).NotTo(BeZero())
+
+	return leader.Term
+}
+
 // expectTargets waits until all instances have a directory of n targets.
 func (f *followingFleet) expectTargets(n int, timeout string) {
 	for _, i := range f.all() {
@@ -605,7 +628,7 @@
 	It("goes on under the same leader after a write of the mirror whose reply was lost, and passes on what it wrote", func() {
 		f := newFollowingFleet(names(6)...)
 		leader := f.settle()
-		term := f.instances[leader].fleet.View().LeaderRevision
+		term := f.storedTerm()
 		f.instances[leader].loseReplies.Store(true)
 		f.registry.set(nil, target("a"), target("b"))
 		time.Sleep(1200 * time.Millisecond)
@@ -614,7 +637,7 @@
 		f.registry.set(nil, target("b"))
 		f.expectTargets(1, "3s")
 		Expect(f.settle()).To(Equal(leader))
-		Expect(f.instances[leader].fleet.View().LeaderRevision).To(Equal(term))
+		Expect(f.storedTerm()).To(Equal(term))
 	})
 
 	It("rejects a write of an earlier leader that lands after a later one has begun, so that the mirror never goes back", func() {
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -237,7 +237,7 @@
 
 // lead acquires the leadership and mirrors the registry of targets until the leadership is lost.
 func (l *Leadership) lead(ctx context.Context) (err error) {
-	t := &term{Leadership: l, revision: l.fleet.View().LeaderRevision}
+	t := &term{Leadership: l, id: rand.Uint64(), revision: l.fleet.View().LeaderRevision}
 	defer func() { t.resign(ctx, err) }()
 	if err := t.acquire(ctx); err != nil {
 		l.fleet.feed.end()
--- a/internal/tier/control/restored_test.go
+++ b/internal/tier/control/restored_test.go
@@ -167,15 +167,17 @@
 	}
 }
 
+// mirrorKeys is the prefix of the keys of the mirror.
+const mirrorKeys = "hickorynotch/targets/"
+
 // mirrored returns the IDs of the targets in the stored mirror.
 func (f *followingFleet) mirrored() (ids []string) {
-	const prefix = "hickorynotch/targets/"
-	entries, _, err := f.store.KeyValueStore().List(context.Background(), prefix)
+	entries, _, err := f.store.KeyValueStore().List(context.Background(), mirrorKeys)
 	if err != nil {
 		return nil
 	}
 	for _, e := range entries {
-		ids = append(ids, e.Key[len(prefix):])
+		ids = append(ids, e.Key[len(mirrorKeys):])
 	}
 
 	return ids
--- a/internal/tier/control/suspects.go
+++ b/internal/tier/control/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"maps"
 	"strings"
 	"time"
@@ -157,7 +156,7 @@
 // syncSuspects writes the records of queries that have crashed several targets and have changed, and deletes those of all others. A failure
 // other than the loss of the leadership is retried at the next tick.
 func (t *term) syncSuspects(ctx context.Context) error {
-	if t.fleet.suspects.Empty() && len(t.storedSuspects) == 0 {
+	if t.inDoubt || t.fleet.suspects.Empty() && len(t.storedSuspects) == 0 {
 		return nil
 	}
 	err := t.callWithTimeout(ctx, func(ctx context.Context) error {
@@ -175,6 +174,7 @@
 		t.storedSuspects = nil
 		rejected, err := t.commitAccepted(ctx, changes, func(ctx context.Context, part Transaction) error {
 			_, err := t.store.Commit(ctx, part)
+			t.doubt(err)
 
 			return err
 		})
@@ -188,7 +188,7 @@
 
 		return nil
 	})
-	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) || ctx.Err() != nil {
+	if err == nil || endsTerm(err) || ctx.Err() != nil {
 		return err
 	}
 	t.log.Log(event.StoreUnavailable, "Part", "Suspects", "Error", err)
--- a/internal/tier/control/term.go
+++ b/internal/tier/control/term.go
@@ -11,11 +11,15 @@
 )
 
 // term is one term of leadership. The revision of the leader's key is the fencing token of all writes to the mirror: they fail once
-// another instance leads.
+// another instance leads, or once this one has written the key again.
 type term struct {
 	*Leadership
-	lease    Lease
+	lease Lease
+	// id tells the leader's key of this term from those of other terms.
+	id       uint64
 	revision uint64
+	// inDoubt is set while it is not known whether a write has been made, so that it may still be.
+	inDoubt bool
 	// generation is the generation of the store in which the key and the mirror were last written or confirmed.
 	generation uint64
 	// mirrorRevision is the revision of this term's last change of the mirror.
@@ -92,20 +96,7 @@
 		return nil
 	}
 	t.log.Log(event.StoreRestored, "Part", "Leader", "Generation", generation, "Before", t.generation)
-	t.storedMirror, t.storedSuspects = nil, nil
-	err := t.callWithTimeout(ctx, func(ctx context.Context) error {
-		entry, _, err := t.store.Get(ctx, leaderKey)
-		if err != nil {
-			return err
-		}
-		stored, ok := decodeEntry[leader](t.log, &entry)
-		if !ok || stored.Name != t.fleet.self.Name {
-			return ErrConflict
-		}
-		t.revision = entry.Revision
-
-		return nil
-	})
+	err := t.fence(ctx, false)
 	synced := false
 	if err == nil {
 		synced, err = t.updateMirror(ctx)
@@ -121,7 +112,7 @@
 			t.fleet.renewTerm(t.revision)
 		}
 	}
-	if errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) {
+	if endsTerm(err) {
 		return err
 	}
 	if err != nil {
@@ -131,6 +122,44 @@
 	return nil
 }
 
+// fence writes the leader's key again, so that no earlier write of this term can be made any more. It returns an error that ends the term if
+// the key is not that of this term.
+func (t *term) fence(ctx context.Context, synced bool) error {
+	t.inDoubt = true
+	t.storedMirror, t.storedSuspects = nil, nil
+	t.fleet.feed.expectRenewal()
+
+	return t.callWithTimeout(ctx, func(ctx context.Context) error {
+		entry, _, err := t.store.Get(ctx, leaderKey)
+		if err != nil {
+			return err
+		}
+		if stored, ok := decodeEntry[leader](t.log, &entry); !ok || stored.Name != t.fleet.self.Name || stored.Term != t.id {
+			return ErrConflict
+		}
+		if synced && t.store.Generation() != t.generation {
+			// The mirror is checked first, in the next tick.
+			return ErrRestored
+		}
+		revision, err := t.writeLeaderKey(ctx, entry.Revision, synced)
+		if err == nil {
+			t.revision, t.inDoubt = revision, false
+		}
+
+		return err
+	})
+}
+
+// doubt records the result of a write that the revision of the leader's key fences.
+func (t *term) doubt(err error) {
+	if err != nil && !endsTerm(err) && !errors.Is(err, ErrNoEffect) {
+		t.inDoubt = true
+	}
+}
+
+// endsTerm reports whether an error means that another instance leads or may lead.
+func endsTerm(err error) bool { return errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) }
+
 // loadMirror reads the stored mirror. It returns the targets in it.
 func (t *term) loadMirror(ctx context.Context) (known []*directory.Target, err error) {
 	entries, _, err := t.store.List(ctx, mirrorPrefix)
@@ -152,25 +181,29 @@
 	return known, nil
 }
 
-// updateMirror synchronizes the mirror during a term. After a write whose outcome is not known, the mirror is read again first. Such a
-// failure does not end the term: if it did, the whole fleet would turn to the store at the begin of an outage. synced is set if the mirror
-// has all that this instance has read.
+// updateMirror synchronizes the mirror during a term. After a write whose outcome is not known, the mirror is read again first, once that
+// write cannot be made any more. Such a failure does not end the term: if it did, the whole fleet would turn to the store at the begin of an
+// outage. synced is set if the mirror has all that this instance has read.
 func (t *term) updateMirror(ctx context.Context) (synced bool, err error) {
-	err = t.callWithTimeout(ctx, func(ctx context.Context) error {
-		if t.storedMirror != nil {
-			return nil
+	if t.inDoubt {
+		if err = t.fence(ctx, true); err == nil {
+			t.fleet.renewTerm(t.revision)
 		}
-		if _, err := t.loadMirror(ctx); err != nil {
+	}
+	if err == nil && t.storedMirror == nil {
+		err = t.callWithTimeout(ctx, func(ctx context.Context) error {
+			_, err := t.loadMirror(ctx)
+
 			return err
+		})
+		if err == nil {
+			t.fleet.feed.setTargets(t.mirrorEntries())
 		}
-		t.fleet.feed.setTargets(t.mirrorEntries())
-
-		return nil
-	})
+	}
 	if err == nil {
 		err = t.syncMirror(ctx, true)
 	}
-	if err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrLeaseEnded) || ctx.Err() != nil {
+	if err == nil || endsTerm(err) || ctx.Err() != nil {
 		return err == nil, err
 	}
 	t.storedMirror = nil
@@ -182,7 +215,7 @@
 // writeLeaderKey writes the leader's key if its revision is still the expected one, and returns the new revision.
 func (t *term) writeLeaderKey(ctx context.Context, expected uint64, synced bool) (uint64, error) {
 	value, err := json.Marshal(leader{
-		Name: t.fleet.self.Name, Synced: synced, Peer: t.fleet.self.Peer, Generation: t.store.Generation(),
+		Name: t.fleet.self.Name, Synced: synced, Peer: t.fleet.self.Peer, Generation: t.store.Generation(), Term: t.id,
 	})
 	if err != nil {
 		return 0, err
@@ -299,6 +332,7 @@
 	} else {
 		err = commit(ctx)
 	}
+	t.doubt(err)
 	if err == nil {
 		t.fleet.feed.publish(changes.entries(t.mirrorRevision))
 	}
