--- /dev/null
+++ b/internal/tier/control/export_test.go
@@ -0,0 +1,24 @@
+package control
+
+import "context"
+
+// Lead makes an instance campaign at once and lead until its term ends.
+func (l *Leadership) Lead(ctx context.Context) error { return l.lead(ctx) }
+
+// ShowNoLeader makes the view show that there is no leader, as it does before an instance campaigns.
+func (f *Fleet) ShowNoLeader() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(&Entry{Key: leaderKey, Deleted: true})
+}
+
+// LeaderInterval is the interval of a leader's ticks.
+const LeaderInterval = leaderInterval
+
+// PollRevision returns the revision after which the next long poll returns changes.
+func (f *Fleet) PollRevision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.revision
+}
