--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -47,6 +48,8 @@
 		Command: command, Duration: *duration, Output: os.Stdout, Restores: *restores,
 	}, *without != "")
 	switch {
+	case ctx.Err() != nil:
+		return soak.ErrInterrupted
 	case *without == "" && failed > 0:
 		return fmt.Errorf("%d seeds failed", failed)
 	case *without != "" && failed == 0:
@@ -66,6 +69,11 @@
 			settings.Seed, settings.Logs = s, logs
 			err = soak.Run(ctx, settings)
 		}
+		if errors.Is(err, soak.ErrInterrupted) {
+			_ = os.RemoveAll(logs)
+
+			break
+		}
 		if err != nil {
 			failed++
 			fmt.Printf("FAILED seed %d: %v; logs in %s\n", s, err, logs)
--- a/internal/proof/soak/crash.go
+++ b/internal/proof/soak/crash.go
@@ -89,7 +89,7 @@
 	random := rand.New(rand.NewPCG(r.settings.Seed, 1))
 	for n := 0; ctx.Err() == nil; n++ {
 		r.sendOneCrashing(ctx, fmt.Sprintf("x%d-%d", r.settings.Seed, n), r.instances[random.IntN(len(r.instances))])
-		time.Sleep(crashInterval/2 + time.Duration(random.Int64N(int64(crashInterval))))
+		sleep(ctx, crashInterval/2+time.Duration(random.Int64N(int64(crashInterval))))
 	}
 }
 
@@ -127,7 +127,9 @@
 	if before < crashesToBlock {
 		return
 	}
-	time.Sleep(stableTime)
+	if !sleep(ctx, stableTime) {
+		return
+	}
 	before = r.env.crashes.total()
 	for n := range lateRequests {
 		r.sendOneCrashing(ctx, fmt.Sprintf("y%d-%d", r.settings.Seed, n), r.instances[n%len(r.instances)])
--- a/internal/proof/soak/process.go
+++ b/internal/proof/soak/process.go
@@ -26,6 +26,8 @@
 	// peerProxy carries the connections of peers to the instance.
 	peerProxy *proxy
 	log       io.Writer
+	// ended is closed when supervise has returned, and the process has ended.
+	ended chan struct{}
 
 	mu          sync.Mutex
 	process     *os.Process
@@ -45,6 +47,7 @@
 
 // supervise starts the process, and restarts it whenever it exits, until stop is called.
 func (i *instance) supervise() {
+	defer close(i.ended)
 	for {
 		command := exec.CommandContext(context.Background(), i.command[0], append(slices.Clone(i.command[1:]), i.settingsPath)...)
 		command.Stdout, command.Stderr = i.log, i.log
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -60,7 +61,10 @@
 	storeCopies []*memory.Copy
 }
 
-// Run runs one soak. The error names the seed and the first guarantee that was violated; Output lists all of them.
+// ErrInterrupted is the error of a run whose context has ended before it.
+var ErrInterrupted = errors.New("interrupted")
+
+// Run runs one soak, and ends soon after ctx, with no process left. The error names the seed and the first guarantee that was violated; Output lists all of them.
 func Run(ctx context.Context, settings Settings) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 
@@ -78,16 +82,26 @@
 		for _, i := range r.instances {
 			i.stop()
 		}
+		for _, i := range r.instances {
+			<-i.ended
+		}
 	}()
 	for i := range instances {
 		if err := r.startInstance(i); err != nil {
 			return err
 		}
 	}
-	if !r.awaitReady(ctx, startTimeout) {
+	ready := r.awaitReady(ctx, startTimeout)
+	if ready {
+		r.runSchedule(ctx)
+	}
+	if ctx.Err() != nil {
+		// What was checked until then proves nothing.
+		return fmt.Errorf("seed %d: %w", settings.Seed, ErrInterrupted)
+	}
+	if !ready {
 		return fmt.Errorf("not all instances were ready after %v", startTimeout)
 	}
-	r.runSchedule(ctx)
 	r.checker.checkRuns(r.env.journal)
 	r.checker.mu.Lock()
 	defer r.checker.mu.Unlock()
@@ -138,7 +152,7 @@
 	}
 	i := &instance{
 		command: r.settings.Command, settingsPath: path, callerAddress: ports[2], readyAddress: ports[3],
-		storeProxy: p, peerProxy: peers, log: log,
+		storeProxy: p, peerProxy: peers, log: log, ended: make(chan struct{}),
 	}
 	r.instances = append(r.instances, i)
 	go i.supervise()
@@ -151,10 +165,9 @@
 	until := time.Now().Add(timeout)
 	for _, i := range r.instances {
 		for !i.isReady(ctx) {
-			if time.Now().After(until) || ctx.Err() != nil {
+			if time.Now().After(until) || !sleep(ctx, 50*time.Millisecond) {
 				return false
 			}
-			time.Sleep(50 * time.Millisecond)
 		}
 	}
 
@@ -178,7 +191,7 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		r.runRandomEvent()
 		next := time.Now().Add(time.Duration(200+r.random.IntN(900)) * time.Millisecond)
-		for time.Now().Before(next) {
+		for time.Now().Before(next) && ctx.Err() == nil {
 			if time.Since(lastHeartbeat) > heartbeatInterval {
 				lastHeartbeat = time.Now()
 				r.writeHeartbeats()
@@ -189,10 +202,12 @@
 	}
 	stopCrashing()
 	r.clearFaults()
-	if !r.awaitReady(ctx, recoveryTimeout) {
+	if !r.awaitReady(ctx, recoveryTimeout) && ctx.Err() == nil {
 		r.checker.report("not all instances were ready %v after the faults", recoveryTimeout)
 	}
-	time.Sleep(time.Second)
+	if !sleep(ctx, time.Second) {
+		return
+	}
 	r.checkRecovered(ctx)
 	r.checkCrashing(ctx)
 }
@@ -240,7 +255,19 @@
 
 				break
 			}
-			time.Sleep(100 * time.Millisecond)
+			if !sleep(ctx, 100*time.Millisecond) {
+				return
+			}
 		}
 	}
 }
+
+// sleep waits for d. It returns false as soon as ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
