soak: no restart of a target is awaited after a run; comments

A target that a request had crashed was back 2 s later, or 3 s if its port was in use, and the run waited for that.

--- a/internal/proof/soak/crash.go
+++ b/internal/proof/soak/crash.go
@@ -34,8 +34,15 @@
 	count int
 	// failures are the errors of targets that could not be started again.
 	failures []error
-	// restarts are the restarts that have not ended.
+	// restarts are the restarts that have not ended. There are none once runEnded is closed.
 	restarts sync.WaitGroup
+	runEnded chan struct{}
+}
+
+// stop ends all restarts, so that no target takes a port of the next run.
+func (c *crashes) stop() {
+	close(c.runEnded)
+	c.restarts.Wait()
 }
 
 func (c *crashes) total() int {
@@ -59,7 +66,11 @@
 	c.mu.Unlock()
 	c.restarts.Go(func() {
 		b.proxy.close()
-		time.Sleep(restartTime)
+		select {
+		case <-time.After(restartTime):
+		case <-c.runEnded:
+			return
+		}
 		b.restarted.Store(time.Now().UnixNano())
 		// The port may stay in use for a moment after it was closed.
 		err := b.proxy.listen()
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -64,7 +64,8 @@
 // ErrInterrupted is the error of a run whose context has ended before it.
 var ErrInterrupted = errors.New("interrupted")
 
-// Run runs one soak, and ends soon after ctx, with no process left. The error names the seed and the first guarantee that was violated; Output lists all of them.
+// Run runs one soak, and ends soon after ctx, with no process left. The error names the seed and the first guarantee that was violated;
+// Output lists all of them.
 func Run(ctx context.Context, settings Settings) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 
@@ -75,8 +76,7 @@
 	if r.env, err = newEnvironment(); err != nil {
 		return err
 	}
-	// A target that starts again later could take the port of one of the next run.
-	defer r.env.crashes.restarts.Wait()
+	defer r.env.crashes.stop()
 	r.logf("seed %d, %v", settings.Seed, settings.Duration)
 	defer func() {
 		for _, i := range r.instances {
--- a/internal/tier/control/value.go
+++ b/internal/tier/control/value.go
@@ -58,7 +58,8 @@
 	// Generation is the generation of the store in which the leader has brought the mirror up to date. In a later one, the mirror is
 	// that of an older copy.
 	Generation uint64
-	// Term tells the key of one term from those of the others, 0 if the leader's version is older than that.
+	// Term tells the key of one term from those of the others, 0 if the leader's version is older than that. The revision of the key can
+	// change within a term.
 	Term uint64 `json:",omitempty"`
 	// Peer is the address at which other instances can follow the leader, invalid if the leader's version is older than that.
 	Peer netip.AddrPort
