control: keep a missing target by when the registry last had it, not by the last read of a leader

Cause: a new leader kept targets whose entries are missing until 0.8 of the drain bound after the last read of its predecessor, since an outage that only the predecessor saw may have made entries expire. It confirmed its own reads to its followers all the while, also for the targets that it only kept. Its successor counted from those reads and kept the target anew. The same belief was handed on by other paths: a process that had just started kept what the stored mirror had, and its followers with it; a leader that alone had been cut off took that for an outage, also long after another leader had read the registry; the begin of a term counted as a read; and a target whose deletion the store rejects stayed with the followers.

Change: what is known of a missing target belongs to the target (directory.Absence): when the registry last had it, and whether its entry may have expired in an outage. internal/decision/retention decides by that, without I/O, for own reads, for what others say, and at the deadline itself. The mirror and the feed mark the targets that are kept; each follower dates the mark by its own clock and by what the leader had confirmed before, and drops the target by itself. Versions without the mark take such a target for a registered one, as before. An instance whose calls to the store have failed campaigns after the others. Event 4024 shows what is kept and why.

--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -32,6 +32,8 @@
 
 	TargetsUnconfirmed = declare(4020, "TargetsUnconfirmed", Warning, "No leader has passed on the registry of targets for most of the drain bound; this instance reads it itself.")
 
+	TargetsRetained = declare(4024, "TargetsRetained", Info, "Targets whose entries are missing stay in use for some seconds, because the entries may have expired in an outage of the store; Targets is their number, Expired that of those for which an instance has seen an outage, and RegisteredAt when the registry had them last.")
+
 	ZonesEvacuated = declare(4030, "ZonesEvacuated", Warning, "The availability zones whose targets get no requests have changed; Zones lists them all.")
 	ZonesKept      = declare(4032, "ZonesKept", Warning, "The store has come back from an older copy; the zones that it lacks stay evacuated for some seconds, until the operators have written them again.")
 	TargetCold     = declare(4033, "TargetCold", Info, "A target has become cold again without a restart; all instances together send it at most PerSecond requests a second for the time in For.")
--- a/internal/tier/control/configuration.go
+++ b/internal/tier/control/configuration.go
@@ -418,13 +418,10 @@
 	}
 }
 
-// recordSuccess records a successful call. If it ends an outage, it returns when the outage began, otherwise the zero time.
-func (h *storeHealth) recordSuccess() (outageStart time.Time) {
-	outageStart = h.unavailableSince
-	if !outageStart.IsZero() {
-		h.log().Log(event.StoreReturned, "Part", h.component, "After", h.timers.Since(outageStart))
+// recordSuccess records a successful call, which may end an outage.
+func (h *storeHealth) recordSuccess() {
+	if !h.unavailableSince.IsZero() {
+		h.log().Log(event.StoreReturned, "Part", h.component, "After", h.timers.Since(h.unavailableSince))
 		h.unavailableSince = time.Time{}
 	}
-
-	return outageStart
 }
--- a/internal/tier/control/control_test.go
+++ b/internal/tier/control/control_test.go
@@ -29,7 +29,9 @@
 
 func table(version uint64) *route.Table {
 	t, err := route.NewTable(version, nil, []route.Service{{Name: coldService, WarmupPerSecond: 20}}, route.Limits{})
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		panic(err)
+	}
 
 	return t
 }
--- a/internal/tier/control/export_test.go
+++ b/internal/tier/control/export_test.go
@@ -12,7 +12,7 @@
 func (f *Fleet) ShowNoLeader() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apply(&Entry{Key: leaderKey, Deleted: true})
+	f.apply(&Entry{Key: leaderKey, Deleted: true}, f.targets)
 }
 
 // LeaderInterval is the interval of a leader's ticks.
--- a/internal/tier/control/feed.go
+++ b/internal/tier/control/feed.go
@@ -188,11 +188,11 @@
 	f.broadcast()
 }
 
-// begin starts a term with the mirror of the registry of targets.
-func (f *Feed) begin(term uint64, self Instance, targets []Entry) {
+// begin starts a term with the mirror of the registry of targets, which was last read at readAt.
+func (f *Feed) begin(term uint64, self Instance, targets []Entry, readAt time.Time) {
 	f.mu.Lock()
 	f.term, f.began, f.beganAt = term, term, f.timers.Now()
-	f.storeReadAt = f.beganAt
+	f.storeReadAt = readAt
 	f.presences[self.Name] = &presence{instance: self, stored: true}
 	f.putInstance(self)
 	for _, e := range targets {
@@ -237,6 +237,21 @@
 	f.broadcast()
 }
 
+// remove removes the entries with the given keys, which the store has rejected to change.
+func (f *Feed) remove(keys []string) {
+	if len(keys) == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, key := range keys {
+		if old, ok := f.entries[key]; ok && !old.Deleted {
+			f.put(Entry{Key: key, Deleted: true})
+		}
+	}
+	f.broadcast()
+}
+
 // setTargets replaces the mirror by one that was read from the store.
 func (f *Feed) setTargets(entries []Entry) {
 	f.mu.Lock()
@@ -273,14 +288,27 @@
 	f.broadcast()
 }
 
-// confirm records when the leader last read the registry of targets and passed on all that had changed. The followers read it themselves
-// once that is too long ago.
+// confirm records when the leader last read the registry of targets and passed on all that had changed. The registry then had the targets that
+// are not passed on as missing. The followers read it themselves once that is too long ago.
 func (f *Feed) confirm(readAt time.Time) {
 	f.mu.Lock()
 	f.storeReadAt = readAt
 	f.mu.Unlock()
 }
 
+// confirmed returns the mirror that this instance has passed on as leader, and when it last read the registry before.
+func (f *Feed) confirmed() (mirror []Entry, readAt time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for key, e := range f.entries {
+		if strings.HasPrefix(key, mirrorPrefix) && !e.Deleted {
+			mirror = append(mirror, e.Entry)
+		}
+	}
+
+	return mirror, f.storeReadAt
+}
+
 // setStored sets the instances that are registered in the store, because they cannot follow the leader.
 func (f *Feed) setStored(self string, instances map[string]Instance) {
 	f.mu.Lock()
--- a/internal/tier/control/fleet.go
+++ b/internal/tier/control/fleet.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hickorynotch/hickorynotch/internal/decision/quarantine"
+	"github.com/hickorynotch/hickorynotch/internal/decision/retention"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
@@ -113,6 +114,8 @@
 	Targets *directory.Directory
 	// Mirror is the stored mirror, whether or not a leader has synchronized it.
 	Mirror *directory.Directory
+	// ConfirmedAt is when the registry last had the targets in Mirror that are not missing, as far as a leader has said so, zero if none has.
+	ConfirmedAt time.Time
 	// Limits are the rate limits of targets, by their IDs, that the leader passes on.
 	Limits map[string]ratelimit.Limit
 	// Evacuated are the availability zones whose targets must get no requests, in order.
@@ -176,6 +179,7 @@
 	v := View{
 		Instances: slices.SortedFunc(maps.Values(f.instances), func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) }),
 		Leader:    f.leader.Name, LeaderRevision: f.leaderRevision, Revision: f.mirrorRevision, UpToDate: f.upToDate,
+		ConfirmedAt: f.storeReadAt,
 	}
 	v.Limits = maps.Clone(f.limits)
 	v.Evacuated = f.evacuated.evacuation.Zones
@@ -289,9 +293,10 @@
 		return err
 	}
 	f.mu.Lock()
+	known := f.targets
 	f.reset()
 	for i := range entries {
-		f.apply(&entries[i])
+		f.apply(&entries[i], known)
 	}
 	f.revision, f.upToDate, f.targetsKnown = revision, true, true
 	f.seenRevision = max(f.seenRevision, revision)
@@ -328,7 +333,7 @@
 	}
 	f.mu.Lock()
 	for i := range changes {
-		f.apply(&changes[i])
+		f.apply(&changes[i], f.targets)
 	}
 	f.revision = max(next, f.revision)
 	f.mu.Unlock()
@@ -366,8 +371,8 @@
 	}
 }
 
-// apply applies one entry or change to the view. f.mu must be held.
-func (f *Fleet) apply(e *Entry) {
+// apply applies one entry or change to the view. known are the targets that this instance knew before. f.mu must be held.
+func (f *Fleet) apply(e *Entry, known map[string]*directory.Target) {
 	switch {
 	case e.Key == leaderKey:
 		f.leader, f.leaderRevision = leader{}, 0
@@ -392,9 +397,24 @@
 		name := strings.TrimPrefix(e.Key, mirrorPrefix)
 		f.mirrorRevision = max(f.mirrorRevision, e.Revision)
 		f.seenRevision = max(f.seenRevision, e.Revision)
+		old := known[name]
 		delete(f.targets, name)
 		if m, ok := decodeEntry[mirrored](f.log, e); ok {
-			f.targets[name] = m.target(name)
+			f.targets[name] = f.withKnownAbsence(m.target(name), old)
 		}
 	}
 }
+
+// withKnownAbsence returns a target of the mirror with what this instance knows of its absence. old is the target as this instance knew it
+// before, nil if it did not. f.mu must be held.
+func (f *Fleet) withKnownAbsence(t, old *directory.Target) *directory.Target {
+	if !t.Absence.Missing {
+		return t
+	}
+	var known *directory.Absence
+	if old != nil {
+		known = &old.Absence
+	}
+
+	return withAbsence(t, retention.Told(known, t.Absence.Expired, f.storeReadAt, f.timers.Now()))
+}
--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -32,9 +32,6 @@
 	stableSession = time.Second
 	// recentFailure is the age up to which a failed call means that the store may just have recovered from an outage.
 	recentFailure = 4 * time.Second
-	// retentionFraction is the fraction of the drain bound for which a new leader keeps targets that are missing from the registry,
-	// counted from the previous leader's last read. The rest covers the time until all instances have the change.
-	retentionFraction = 0.8
 	// electionTimeout is how long an instance without a leader waits for one before it reads the store itself.
 	electionTimeout = 1500 * time.Millisecond
 )
@@ -99,7 +96,7 @@
 	// failedLeader is the revision of the leader's key when its leader could not be followed. It is tried again at retryAt.
 	failedLeader uint64
 	retryAt      time.Time
-	// storeReadAt is when the followed leader last read the store. storeFailedAt is when a call of this instance last failed.
+	// storeReadAt is when the last leader, which may be this instance, last read the store and had passed on what it read. storeFailedAt is when a call of this instance last failed.
 	storeReadAt   time.Time
 	storeFailedAt time.Time
 	// updatedAt is when the last update of a leader arrived.
@@ -169,9 +166,9 @@
 }
 
 // beginTerm and endTerm make this instance the source of the fleet's state, and end that. onReplaced is called if another instance has begun a
-// later term.
-func (f *Fleet) beginTerm(term uint64, targets []Entry, onReplaced func()) {
-	f.feed.begin(term, f.self, append(targets, f.evacuationEntries()...))
+// later term. The registry was last read at readAt.
+func (f *Fleet) beginTerm(term uint64, targets []Entry, readAt time.Time, onReplaced func()) {
+	f.feed.begin(term, f.self, append(targets, f.evacuationEntries()...), readAt)
 	f.mu.Lock()
 	f.leader, f.leaderRevision = syncedLeader(f.self.Name, f.self.Peer, term), term
 	f.highestTerm = max(f.highestTerm, term)
@@ -200,7 +197,12 @@
 
 func (f *Fleet) endTerm() {
 	f.feed.end()
+	mirror, readAt := f.feed.confirmed()
 	f.mu.Lock()
+	f.targets, f.storeReadAt = make(map[string]*directory.Target, len(mirror)), readAt
+	for k := range mirror {
+		f.apply(&mirror[k], nil)
+	}
 	f.onReplaced = nil
 	if n := f.successor; n.Leader > f.highestTerm {
 		f.leader, f.leaderRevision = syncedLeader(n.Name, n.Peer, n.Leader), n.Leader
@@ -256,7 +258,7 @@
 }
 
 // recordStoreFailure records that a call to the store failed. storeFailedRecently reports whether one failed so recently that entries
-// of targets may have expired during an outage.
+// of targets may have expired during an outage. If a leader has read the registry since, the store was not away, or the leader knows.
 func (f *Fleet) recordStoreFailure() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -267,19 +269,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return !f.storeFailedAt.IsZero() && f.timers.Since(f.storeFailedAt) < recentFailure
-}
-
-// registryRetention returns until when a new leader keeps targets that are missing from the registry, the zero time if this instance
-// followed no leader before.
-func (f *Fleet) registryRetention() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.storeReadAt.IsZero() {
-		return time.Time{}
-	}
-
-	return f.storeReadAt.Add(time.Duration(retentionFraction * float64(f.drainBound)))
+	return f.storeFailedAt.After(f.storeReadAt) && f.timers.Since(f.storeFailedAt) < recentFailure
 }
 
 // targetsConfirmedAt returns when the leader last read the registry of targets, as far as this instance knows. The mirror in the store does not
@@ -364,23 +354,25 @@
 		return Error.New("the leader's term %d is over, because term %d has begun", u.Term, f.highestTerm)
 	}
 	f.updatedAt = f.timers.Now()
-	f.storeReadAt = f.updatedAt.Add(-u.StoreAge)
 	if u.Term > f.highestTerm || f.mode != following {
 		f.highestTerm = u.Term
 		f.leader, f.leaderRevision = syncedLeader(l.Name, l.Peer, u.Term), u.Term
 	}
 	f.upToDate = true
 	if u.Changes != nil {
+		known := f.targets
 		if u.Changes.Reset {
 			clear(f.instances)
-			clear(f.targets)
+			f.targets = make(map[string]*directory.Target, len(known))
 			clear(f.limits)
 			f.targetsKnown = true
 		}
 		for i := range u.Changes.Entries {
-			f.apply(&u.Changes.Entries[i])
+			f.apply(&u.Changes.Entries[i], known)
 		}
 	}
+	// The targets that have become missing were registered when the registry was last read before this update.
+	f.storeReadAt = f.updatedAt.Add(-u.StoreAge)
 	f.mu.Unlock()
 	f.setMode(following)
 	f.health.recordSuccess()
@@ -464,7 +456,7 @@
 	}
 	f.mu.Lock()
 	if f.mode == following && (entry.Deleted || entry.Revision > term) {
-		f.apply(entry)
+		f.apply(entry, f.targets)
 	}
 	deleted := f.leader.Name == ""
 	f.mu.Unlock()
--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -42,6 +42,10 @@
 	// zoneChanges counts the operators' changes of the evacuated zones. older makes leaders pass on none, as earlier versions do.
 	zoneChanges atomic.Uint64
 	older       atomic.Bool
+	// atEnd registers what stops an instance at the end of the test.
+	atEnd func(stop func())
+	// cutsRegistry makes an instance that is cut off from the store or frozen unable to read the registry either.
+	cutsRegistry bool
 
 	mu        sync.Mutex
 	instances map[string]*followingInstance
@@ -84,6 +88,9 @@
 	// isolated cuts the instance off from the others, and storeCut from the store.
 	isolated atomic.Bool
 	storeCut atomic.Bool
+	// frozen makes all calls of the instance, and its messages to the others, wait. restarted is set if it is started again.
+	frozen    atomic.Bool
+	restarted bool
 	// silenced drops all messages between the instance and the others, which is noticed only by a timeout.
 	silenced atomic.Bool
 	// configurationCut makes the instance's reads of the configuration fail, and watchDeaf makes its long polls of the configuration hear of
@@ -100,9 +107,13 @@
 }
 
 func newFollowingFleet(names ...string) *followingFleet {
+	return startFollowingFleet(func(stop func()) { DeferCleanup(stop) }, names...)
+}
+
+func startFollowingFleet(atEnd func(stop func()), names ...string) *followingFleet {
 	f := &followingFleet{
 		timers: timer.New(), registry: &targetRegistry{}, instances: make(map[string]*followingInstance),
-		byAddress: make(map[netip.AddrPort]*followingInstance),
+		byAddress: make(map[netip.AddrPort]*followingInstance), atEnd: atEnd,
 	}
 	f.store = memory.New(f.timers)
 	f.version.Store(1)
@@ -116,6 +127,29 @@
 
 var errCut = errors.New("cut off")
 
+// awaitThaw waits while the instance is frozen.
+func (i *followingInstance) awaitThaw(ctx context.Context) {
+	for i.frozen.Load() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// targetSource returns the registry of targets as an instance reaches it.
+func (f *followingFleet) targetSource(i *followingInstance) control.TargetSource {
+	inner := f.registry.source()
+
+	return control.TargetSource{List: func(ctx context.Context) (control.Listed, error) {
+		if f.cutsRegistry {
+			i.awaitThaw(ctx)
+			if i.storeCut.Load() {
+				return control.Listed{}, errCut
+			}
+		}
+
+		return inner.List(ctx)
+	}}
+}
+
 // keyValueStore returns the store as an instance reaches it, with its calls counted.
 func (f *followingFleet) keyValueStore(i *followingInstance) control.KeyValueStore {
 	inner := f.store.KeyValueStore()
@@ -127,6 +161,7 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
+		i.awaitThaw(ctx)
 		if i.storeCut.Load() {
 			return errCut
 		}
@@ -247,6 +282,9 @@
 				}
 				time.Sleep(10 * time.Millisecond)
 			}
+			if i.storeCut.Load() && f.cutsRegistry {
+				return control.ConfigurationResult{}, errCut
+			}
 
 			return control.ConfigurationResult{Revision: after}, ctx.Err()
 		},
@@ -281,6 +319,15 @@
 		go f.reportLeaving(ctx, i, leader, r)
 
 		return leader.fleet.Feed().Serve(ctx, r, func(u *control.Update) error {
+			if sentAt := time.Now(); leader.frozen.Load() || i.frozen.Load() {
+				leader.awaitThaw(ctx)
+				i.awaitThaw(ctx)
+				// The leader was frozen before it made the update.
+				u = &control.Update{
+					Term: u.Term, Version: u.Version, ConfigurationAge: u.ConfigurationAge + time.Since(sentAt),
+					StoreAge: u.StoreAge + time.Since(sentAt), Changes: u.Changes, Configuration: u.Configuration,
+				}
+			}
 			if i.silenced.Load() {
 				time.Sleep(time.Until(receivedAt.Add(2200 * time.Millisecond)))
 
@@ -367,14 +414,14 @@
 	i.fleet = control.NewFleet(store, i.self, f.timers, control.WithDrainBound(drainBound),
 		control.OnView(func(v control.View) { i.evacuated.Store(&v.Evacuated) }),
 		control.WithSuspects(i.suspects), control.WithFollowing(&control.Following{
-			Follow: f.follow(i), FirstStart: true, Version: func() uint64 { return i.configuration.Version() },
+			Follow: f.follow(i), FirstStart: !i.restarted, Version: func() uint64 { return i.configuration.Version() },
 			OnConfiguration: func(c *control.StoredConfiguration) { i.configuration.Offer(c) },
 			OnVersion:       func(version uint64, age time.Duration) { i.configuration.Confirm(version, age) },
 		}))
 	i.configuration = control.NewConfiguration(f.configurations(i), f.timers, i.fleet.PollTime, control.WithFleet(i.fleet),
 		control.WithApplyBound(applyBound),
 		control.OnAdopted(func(*route.Table) { i.evacuatedAtStart.CompareAndSwap(nil, i.evacuated.Load()) }))
-	targets := control.NewTargets(f.registry.source(), f.timers, func(d *directory.Directory) {
+	targets := control.NewTargets(f.targetSource(i), f.timers, func(d *directory.Directory) {
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		if i.current.Len() > 0 && d.Len() == 0 {
@@ -386,7 +433,7 @@
 		control.WithConfiguration(i.configuration), control.WithNotify(func(_ context.Context, n control.Notice) { f.notify(i, n) }))
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
-	DeferCleanup(cancel)
+	f.atEnd(cancel)
 	f.mu.Lock()
 	f.instances[name], f.byAddress[address] = i, i
 	f.mu.Unlock()
--- a/internal/tier/control/leadership.go
+++ b/internal/tier/control/leadership.go
@@ -27,6 +27,9 @@
 	mirrorTimeout = 600 * time.Millisecond
 	// startupPeriod is the time after its start during which an instance campaigns after a random delay instead of one by rank.
 	startupPeriod = 3 * time.Second
+	// suspectDelay is the campaign delay of an instance whose calls to the store have failed, in addition to the delay by rank. One that was
+	// not cut off, if there is one, campaigns before it, and knows that the store was not away.
+	suspectDelay = (standbyCount + 1) * campaignDelayPerRank
 	// maximumCampaignDelay is the upper bound of the campaign delay by rank, and of the random delay.
 	maximumCampaignDelay = 800 * time.Millisecond
 )
@@ -97,6 +100,7 @@
 	for _, option := range options {
 		option(l)
 	}
+	targets.reader.Unseen = time.Duration(unseenFraction * float64(fleet.drainBound))
 
 	return l
 }
@@ -120,7 +124,7 @@
 		case view.UpToDate && view.Targets != nil:
 			switch {
 			case !l.registryReadAt.After(l.fleet.targetsConfirmedAt()):
-				l.targets.Adopt(view.Targets)
+				l.targets.Adopt(view.Targets, view.ConfirmedAt)
 			case l.fleet.currentMode() == direct && view.Revision > l.mirrorRevision:
 				// The leader has written a change since this instance read the registry itself.
 				l.mirrorRevision = view.Revision
@@ -155,10 +159,6 @@
 // readOverdue reads the registry because no leader has passed it on in time.
 func (l *Leadership) readOverdue(ctx context.Context) {
 	l.log.Log(event.TargetsUnconfirmed, "Age", l.timers.Since(l.fleet.targetsConfirmedAt()))
-	if l.fleet.storeFailedRecently() {
-		l.targets.expectMissing()
-	}
-	l.targets.retainUntil(l.fleet.registryRetention())
 	if err := l.readRegistry(ctx); err != nil {
 		l.awaitViewChange(ctx, retryDelay(err))
 	}
@@ -176,6 +176,7 @@
 // readRegistry reads the registry of targets.
 func (l *Leadership) readRegistry(ctx context.Context) error {
 	started, mirrorRevision := l.timers.Now(), l.fleet.View().Revision
+	l.takeOverTargets()
 	err := l.targets.Read(ctx)
 	if err == nil {
 		l.registryReadAt, l.mirrorRevision = started, mirrorRevision
@@ -184,6 +185,15 @@
 	return err
 }
 
+// takeOverTargets prepares the first read of the registry after other instances have read it.
+func (l *Leadership) takeOverTargets() {
+	if l.fleet.storeFailedRecently() && !l.registryReadAt.After(l.fleet.targetsConfirmedAt()) {
+		l.targets.expectExpired()
+	}
+	view := l.fleet.View()
+	l.targets.takeOver(view.Mirror, view.ConfirmedAt)
+}
+
 // awaitLeader waits for at most d. It returns earlier once the view shows a synchronized mirror, or that there is no leader.
 func (l *Leadership) awaitLeader(ctx context.Context, d time.Duration) {
 	until := l.timers.Now().Add(d)
@@ -201,10 +211,24 @@
 
 // awaitViewChange waits for d or until the view changes.
 func (l *Leadership) awaitViewChange(ctx context.Context, d time.Duration) {
-	select {
-	case <-l.timers.After(d):
-	case <-l.fleet.viewChanged:
-	case <-ctx.Done():
+	l.wait(ctx, d, l.fleet.viewChanged)
+}
+
+// wait waits for d or until wake is ready. Meanwhile it drops the missing targets that are not kept any longer.
+func (l *Leadership) wait(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	for until := l.timers.Now().Add(d); ctx.Err() == nil; {
+		left := l.timers.Until(until)
+		select {
+		case <-l.timers.After(min(left, l.targets.untilExpiry())):
+			l.targets.expire()
+		case <-wake:
+			return
+		case <-ctx.Done():
+			return
+		}
+		if l.timers.Until(until) <= 0 {
+			return
+		}
 	}
 }
 
@@ -216,18 +240,17 @@
 		// If all instances have just started, each knows few others, so that the ranks of many are equal.
 		delay = rand.N(maximumCampaignDelay)
 	}
+	if l.fleet.storeFailedRecently() {
+		delay += suspectDelay
+	}
 	if overdueIn := l.untilOverdue(); overdueIn < delay {
 		// The registry is read before this instance campaigns.
 		l.awaitViewChange(ctx, overdueIn)
 
 		return
 	}
-	select {
-	case <-l.timers.After(delay + rand.N(campaignDelayPerRank/2)):
-	case <-ctx.Done():
-		return
-	}
-	if view = l.fleet.View(); !view.UpToDate || view.Leader != "" {
+	l.wait(ctx, delay+rand.N(campaignDelayPerRank/2), nil)
+	if view = l.fleet.View(); ctx.Err() != nil || !view.UpToDate || view.Leader != "" {
 		return
 	}
 	err := l.lead(ctx)
@@ -254,14 +277,20 @@
 	l.log.Log(event.LeadershipBegan, "Revision", t.revision)
 	ctx, replace := context.WithCancelCause(ctx)
 	defer replace(nil)
-	l.fleet.beginTerm(t.revision, t.mirrorEntries(), func() { replace(errReplaced) })
+	l.fleet.beginTerm(t.revision, t.mirrorEntries(), l.targets.reader.ReadAt(), func() { replace(errReplaced) })
 	defer l.fleet.endTerm()
+	l.targets.reader.Leads = true
+	defer func() { l.targets.reader.Leads = false }()
 	ticks := l.timers.Subscribe(leaderInterval)
 	defer ticks.Stop()
 	for {
 		t.sendNotice(ctx)
 		select {
 		case <-ticks.C:
+		case <-t.expiry():
+			l.targets.expire()
+
+			continue
 		case <-ctx.Done():
 		}
 		if ctx.Err() != nil {
@@ -283,11 +312,7 @@
 			}
 		}
 		l.fleet.feed.takeLeaving(l.targets.MarkLeaving)
-		readAt := l.timers.Now()
-		if err := l.targets.Read(ctx); err != nil {
-			// Stay leader. If the store does not answer the renewals either, the lease expires and another instance can take over.
-			l.log.Log(event.StoreUnavailable, "Part", "Leader", "Error", err)
-
+		if !t.readTargets(ctx) {
 			continue
 		}
 		if t.store.Generation() != t.generation {
@@ -299,7 +324,7 @@
 			return err
 		}
 		if synced {
-			l.fleet.feed.confirm(readAt)
+			l.fleet.feed.confirm(l.targets.reader.ReadAt())
 		}
 		if err := t.syncSuspects(ctx); err != nil {
 			return err
@@ -307,6 +332,30 @@
 	}
 }
 
+// readTargets reads the registry of targets. If that fails, the instance stays leader. If the store does not answer the renewals either, the
+// lease expires and another instance can take over.
+func (t *term) readTargets(ctx context.Context) (ok bool) {
+	err := t.targets.Read(ctx)
+	if err == nil {
+		return true
+	}
+	if !errors.Is(err, ErrIncomplete) {
+		t.fleet.recordStoreFailure()
+	}
+	t.log.Log(event.StoreUnavailable, "Part", "Leader", "Error", err)
+
+	return false
+}
+
+// expiry returns a channel that is ready when a missing target has to be dropped, nil if there is none.
+func (t *term) expiry() <-chan time.Time {
+	if t.targets.retained == 0 {
+		return nil
+	}
+
+	return t.timers.After(t.targets.untilExpiry())
+}
+
 // rank returns the position of self in the order in which instances campaign: those with more processor cores first, and by a hash
 // of the name among equals.
 func rank(instances []Instance, self Instance) int {
--- a/internal/tier/control/search.go
+++ b/internal/tier/control/search.go
@@ -50,7 +50,7 @@
 		return findLeader, err
 	}
 	f.mu.Lock()
-	f.apply(&entry)
+	f.apply(&entry, f.targets)
 	f.revision, f.upToDate = revision, true
 	name, m := f.leader.Name, f.mode
 	f.mu.Unlock()
--- a/internal/tier/control/term.go
+++ b/internal/tier/control/term.go
@@ -32,6 +32,8 @@
 	tick           int
 	// storedMirror is the content of the stored mirror by mirrorName, as last read or written in this term, nil if it is not known.
 	storedMirror map[string]mirrored
+	// withheld are the names in it that are out of date, because the store has rejected to change them. They are not passed on.
+	withheld map[string]bool
 	// warmupsAt is when the time for which a target is cold was last written to the mirror in this term, by mirrorName.
 	warmupsAt map[string]time.Time
 	// storedSuspects are the stored records of blocked queries, nil if they are not known.
@@ -73,10 +75,7 @@
 			return err
 		}
 		t.targets.Seed(directory.New(known))
-		if t.fleet.storeFailedRecently() {
-			t.targets.expectMissing()
-		}
-		t.targets.retainUntil(t.fleet.registryRetention())
+		t.takeOverTargets()
 		if err = t.targets.Read(ctx); err != nil {
 			return err
 		}
@@ -193,19 +192,22 @@
 			t.fleet.renewTerm(t.revision)
 		}
 	}
+	reloaded := false
 	if err == nil && t.storedMirror == nil {
 		err = t.callWithTimeout(ctx, func(ctx context.Context) error {
 			_, err := t.loadMirror(ctx)
 
 			return err
 		})
-		if err == nil {
-			t.fleet.feed.setTargets(t.mirrorEntries())
-		}
+		reloaded = err == nil
 	}
 	if err == nil {
 		err = t.syncMirror(ctx, true)
 	}
+	if err == nil && reloaded {
+		// Not before: what was stored may be older than what the followers know.
+		t.fleet.feed.setTargets(t.mirrorEntries())
+	}
 	if err == nil || endsTerm(err) || ctx.Err() != nil {
 		return err == nil, err
 	}
@@ -247,7 +249,7 @@
 // rejects is not mirrored.
 func (t *term) syncMirror(ctx context.Context, callTimeouts bool) error {
 	var changes Transaction
-	next := make(map[string]mirrored)
+	next, withheld := make(map[string]mirrored), make(map[string]bool)
 	flush := func() error {
 		rejected, err := t.commitAccepted(ctx, changes, func(ctx context.Context, part Transaction) error {
 			return t.commitMirror(ctx, part, callTimeouts)
@@ -256,9 +258,10 @@
 			name := key[len(mirrorPrefix):]
 			delete(next, name)
 			if old, ok := t.storedMirror[name]; ok {
-				next[name] = old
+				next[name], withheld[name] = old, true
 			}
 		}
+		t.fleet.feed.remove(rejected)
 		changes = Transaction{}
 
 		return err
@@ -273,7 +276,7 @@
 	now := t.timers.Now()
 	for target := range t.targets.Current().All {
 		m, name := newMirrored(target), mirrorName(target.ID)
-		if old, ok := t.storedMirror[name]; ok && target.Same(old.target(name)) && (!callTimeouts || t.warmupSame(target, name, &old, now)) {
+		if old, ok := t.storedMirror[name]; ok && old.same(target, name) && (!callTimeouts || t.warmupSame(target, name, &old, now)) {
 			next[name] = old
 
 			continue
@@ -296,7 +299,7 @@
 			return err
 		}
 	}
-	for _, name := range t.mirroredBefore(next, now) {
+	for _, name := range t.mirroredBefore(next, withheld, now) {
 		changes.Deletes = append(changes.Deletes, mirrorPrefix+name)
 		if err := flushIfFull(); err != nil {
 			return err
@@ -307,19 +310,20 @@
 			return err
 		}
 	}
-	t.storedMirror = next
+	t.storedMirror, t.withheld = next, withheld
 
 	return nil
 }
 
-// mirroredBefore returns the names in the stored mirror that the next one lacks and that can be deleted. The others are added to the next one.
-func (t *term) mirroredBefore(next map[string]mirrored, now time.Time) (names []string) {
+// mirroredBefore returns the names in the stored mirror that the next one lacks and that can be deleted. The others are added to the next one
+// and to those that are withheld.
+func (t *term) mirroredBefore(next map[string]mirrored, withheld map[string]bool, now time.Time) (names []string) {
 	for name, old := range t.storedMirror {
 		if _, ok := next[name]; ok {
 			continue
 		}
 		if t.rejected.hasDelete(mirrorPrefix+name, now) {
-			next[name] = old
+			next[name], withheld[name] = old, true
 
 			continue
 		}
@@ -353,10 +357,13 @@
 	return err
 }
 
-// mirrorEntries returns the content of the stored mirror.
+// mirrorEntries returns the content of the stored mirror that is up to date.
 func (t *term) mirrorEntries() []Entry {
 	entries := make([]Entry, 0, len(t.storedMirror))
 	for name, m := range t.storedMirror {
+		if t.withheld[name] {
+			continue
+		}
 		// The fields of a mirrored can always be encoded.
 		value, _ := json.Marshal(m)
 		entries = append(entries, Entry{Key: mirrorPrefix + name, Value: value, Revision: t.mirrorRevision})
--- a/internal/tier/control/value.go
+++ b/internal/tier/control/value.go
@@ -96,6 +96,10 @@
 	Draining         bool
 	Warmup           time.Duration
 	Started          time.Time
+	// Missing is set if the registry lacks the target, and Expired if its entry may have expired in an outage of the store. An earlier version
+	// does not pass them on, and takes such a target for a registered one.
+	Missing bool `json:",omitempty"`
+	Expired bool `json:",omitempty"`
 	// Sequence is that of the target's entry that Warmup is from, 0 if Warmup is 0 or the leader's version does not pass it on. It tells a
 	// warm-up from an earlier one that took as long.
 	Sequence int64 `json:",omitempty"`
@@ -124,7 +128,7 @@
 func newMirrored(t *directory.Target) mirrored {
 	m := mirrored{
 		Service: t.Service, Address: t.Address, AvailabilityZone: t.AvailabilityZone, Slots: t.Slots, Draining: t.Draining,
-		Warmup: t.Warmup, Started: t.Started,
+		Warmup: t.Warmup, Started: t.Started, Missing: t.Absence.Missing, Expired: t.Absence.Expired,
 	}
 	if m.Warmup > 0 {
 		m.Sequence = t.Sequence
@@ -136,6 +140,16 @@
 	return m
 }
 
+// same reports whether the mirror, in which a target has a name, says of it what is known now, apart from its warm-up.
+func (m *mirrored) same(t *directory.Target, name string) bool {
+	return t.Same(m.target(name)) && t.Absence.Missing == m.Missing && t.Absence.Expired == m.Expired
+}
+
+// absent returns what the mirror says of the absence of a target's entry.
+func (m *mirrored) absent() directory.Absence {
+	return directory.Absence{Missing: m.Missing, Expired: m.Expired}
+}
+
 // hashedNamePrefix is the prefix of a mirrorName that is a hash.
 const hashedNamePrefix = "~"
 
@@ -159,7 +173,7 @@
 
 	return &directory.Target{
 		ID: id, Service: m.Service, Address: m.Address, AvailabilityZone: m.AvailabilityZone, Slots: m.Slots, Draining: m.Draining,
-		Warmup: m.Warmup, Started: m.Started, Sequence: m.Sequence,
+		Warmup: m.Warmup, Started: m.Started, Sequence: m.Sequence, Absence: m.absent(),
 	}
 }
 
--- a/internal/world/directory/directory.go
+++ b/internal/world/directory/directory.go
@@ -33,9 +33,12 @@
 	Sequence int64
 	// Started is the start time of the process, or zero if the registry entry does not contain it.
 	Started time.Time
+	// Absence is set if the entry is missing from the registry.
+	Absence Absence
 }
 
-// Same reports whether t and other are equal in all fields but Warmup and Sequence, which change each time a target updates its entry.
+// Same reports whether t and other are equal in all fields but Warmup and Sequence, which change each time a target updates its entry, and
+// Absence, which is no part of the entry.
 func (t *Target) Same(other *Target) bool {
 	return t.ID == other.ID && t.Service == other.Service && t.Address == other.Address &&
 		t.AvailabilityZone == other.AvailabilityZone && t.Slots == other.Slots && t.Draining == other.Draining &&
