--- a/internal/tier/control/follow_test.go
+++ b/internal/tier/control/follow_test.go
@@ -53,15 +53,20 @@
 	started   uint16
 }
 
-// commitError is the error of the transactions that put one of the keys.
+// commitError is the error of the transactions that put one of the keys, or delete one if that is set.
 type commitError struct {
-	keys func(key string) bool
-	err  error
+	keys    func(key string) bool
+	deletes bool
+	err     error
 }
 
-// check returns the error if the transaction puts one of the keys.
+// check returns the error if the transaction changes one of the keys in that way.
 func (e *commitError) check(t *control.Transaction) error {
-	if e != nil && slices.ContainsFunc(t.Puts, func(p control.Put) bool { return e.keys(p.Key) }) {
+	switch {
+	case e == nil:
+	case e.deletes && slices.ContainsFunc(t.Deletes, e.keys):
+		return e.err
+	case !e.deletes && slices.ContainsFunc(t.Puts, func(p control.Put) bool { return e.keys(p.Key) }):
 		return e.err
 	}
 
--- a/internal/tier/control/retention_test.go
+++ b/internal/tier/control/retention_test.go
@@ -280,3 +280,77 @@
 		}
 	}
 }
+
+// expectWithin checks that all instances that have not been lost are in a state from a time after the begin on.
+func (r *replay) expectWithin(t *testing.T, bound, d time.Duration, what string, ok func(i *followingInstance) bool) {
+	t.Helper()
+	time.Sleep(bound)
+	reported := false
+	r.watch(d, func(i *followingInstance) {
+		if !reported && !ok(i) {
+			reported = true
+			t.Errorf("%s: not so %.2f s after the begin: %s", i.name, time.Since(r.began).Seconds(), what)
+		}
+	})
+}
+
+func lacks(id string) func(i *followingInstance) bool {
+	return func(i *followingInstance) bool {
+		_, ok := i.targets().Target(id)
+
+		return !ok
+	}
+}
+
+// Guards against followers that go on using a target that has left because the store rejects to delete it from the mirror (DRAIN).
+func TestATargetWhoseDeletionTheStoreRejectsIsNotUsedUnderThisLeaderOrTheNext(t *testing.T) {
+	play(t, 0, func(r *replay) {
+		for _, i := range r.all() {
+			i.commitError.Store(&commitError{
+				keys: func(key string) bool { return key == mirrorKeys+"x" }, deletes: true, err: rejected,
+			})
+		}
+		r.registry.set(nil, at("a", 1), at("b", 2))
+		r.expectWithin(t, leaveTime, 2*time.Second, "lacks x", lacks("x"))
+		r.lose(r.storedLeader(), killed)
+		r.expectWithin(t, 0, 8*time.Second, "lacks x after a change of leader", lacks("x"))
+	})
+}
+
+// Guards against a leader that takes its own loss of contact, after which others have read the registry, for an outage, and keeps what has left.
+func TestALeaderThatWasCutOffKeepsNoTargetWhenItLeadsAgain(t *testing.T) {
+	for seed := range replaySeeds(t) {
+		play(t, seed, func(r *replay) {
+			first := r.storedLeader()
+			cut := r.instance(first)
+			r.disturbed[first] = true
+			cut.storeCut.Store(true)
+			time.Sleep(4 * time.Second)
+			cut.storeCut.Store(false)
+			time.Sleep(6 * time.Second)
+			// The entry is removed while there is no leader, and only the first one is left to lead.
+			r.registry.set(nil, at("a", 1), at("b", 2))
+			r.lose(r.storedLeader(), killed)
+			r.expectWithin(t, leaveTime, 5*time.Second, "lacks x", lacks("x"))
+		})
+	}
+}
+
+// Guards against a leader that passes on the mirror of an older copy of the store before it has corrected it (DRAIN).
+func TestATargetThatDrainsIsNotReadyAgainWhileTheLeaderCorrectsARestoredMirror(t *testing.T) {
+	play(t, 0, func(r *replay) {
+		backup := r.store.Copy()
+		drains := at("x", 3)
+		drains.Draining = true
+		r.registry.set(nil, at("a", 1), at("b", 2), drains)
+		time.Sleep(3 * time.Second)
+		r.instance(r.storedLeader()).slowReplies.Store(true)
+		r.store.Restore(backup)
+		r.registry.restore(at("a", 1), at("b", 2), drains)
+		r.expectWithin(t, 0, 5*time.Second, "x drains", func(i *followingInstance) bool {
+			x, ok := i.targets().Target("x")
+
+			return ok && x.Draining
+		})
+	})
+}
--- a/internal/tier/control/value_test.go
+++ b/internal/tier/control/value_test.go
@@ -64,6 +64,17 @@
 			`{"Name":"b","Peer":"10.0.0.1:1","AvailabilityZone":"Kochi"}`, "Processor is not positive"),
 	)
 
+	It("are understood when a later version has added fields", func() {
+		store := memory.New(timer.New())
+		store.Put("hickorynotch/targets/i-1",
+			[]byte(`{"Service":"s","AvailabilityZone":"Kochi","Address":"10.0.0.1:1","Slots":2,"Missing":true,"Expired":true,"Later":1}`))
+		fleet := control.NewFleet(store.KeyValueStore(), control.Instance{Name: "a"}, timer.New())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() { _ = fleet.Run(ctx) }()
+		Eventually(func() int { return fleet.View().Mirror.Len() }).Should(Equal(1))
+	})
+
 	It("do not prevent the election of a leader when the value of the leader's key is invalid", func() {
 		store, r := memory.New(timer.New()), &targetRegistry{}
 		store.Put("hickorynotch/leader", []byte("{"))
