--- a/internal/tier/control/follow.go
+++ b/internal/tier/control/follow.go
@@ -96,7 +96,8 @@
 	// failedLeader is the revision of the leader's key when its leader could not be followed. It is tried again at retryAt.
 	failedLeader uint64
 	retryAt      time.Time
-	// storeReadAt is when the last leader, which may be this instance, last read the store and had passed on what it read. storeFailedAt is when a call of this instance last failed.
+	// storeReadAt is when the last leader, which may have been this instance, read the store and had passed on what it read. storeFailedAt is
+	// when a call of this instance last failed.
 	storeReadAt   time.Time
 	storeFailedAt time.Time
 	// updatedAt is when the last update of a leader arrived.
