--- a/internal/tier/control/retention_test.go
+++ b/internal/tier/control/retention_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -86,6 +87,14 @@
 	r.story = append(r.story, fmt.Sprintf("%.2f s: ", time.Since(r.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// told returns what was noted so far.
+func (r *replay) told() []string {
+	r.events.Lock()
+	defer r.events.Unlock()
+
+	return slices.Clone(r.story)
+}
+
 // storedLeader returns the instance that the leader's key names, empty if there is none.
 func (r *replay) storedLeader() string {
 	entry, _, err := r.store.KeyValueStore().Get(context.Background(), leaderKey)
@@ -229,7 +238,7 @@
 								r.note("%s uses x", i.name)
 							}
 						})
-						story = r.story
+						story = r.told()
 					})
 					if late > 0 {
 						t.Errorf("seed %d: x used for %v after its entry was removed: %v", seed, late, story)
@@ -270,7 +279,7 @@
 								r.note("%s has %d targets", i.name, i.targets().Len())
 							}
 						})
-						story = r.story
+						story = r.told()
 					})
 					if lost {
 						t.Errorf("seed %d: %v", seed, story)
@@ -323,7 +332,9 @@
 		play(t, seed, func(r *replay) {
 			first := r.storedLeader()
 			cut := r.instance(first)
+			r.events.Lock()
 			r.disturbed[first] = true
+			r.events.Unlock()
 			cut.storeCut.Store(true)
 			time.Sleep(4 * time.Second)
 			cut.storeCut.Store(false)
