--- a/internal/tier/control/retention_test.go
+++ b/internal/tier/control/retention_test.go
@@ -191,7 +191,7 @@
 	}
 }
 
-// lossKinds are how the leaders of a replay are lost.
+// lossKinds are how the leaders of a replay are lost: all in one way, or each in one that rng draws.
 func lossKinds(rng *rand.Rand) map[string]func() loss {
 	kinds := map[string]func() loss{"mixed": func() loss { return loss(rng.IntN(int(losses))) }}
 	for how := range losses {
