control: keep a missing target for 0.9 of the drain bound

Cause: each instance drops a missing target by its own clock now, and no longer when the leader has read, passed it on and is followed. With 0.8 of the bound, that was up to half a second before the leader read that a target had registered again after an outage which only a lost leader saw. Change: 0.9, the rest is for requests on their way.

--- a/internal/tier/control/targets.go
+++ b/internal/tier/control/targets.go
@@ -16,8 +16,9 @@
 	// Entries may expire during the outage; live targets register again within about 2 s of the store's recovery.
 	missingTargetGrace = 2300 * time.Millisecond
 	// unseenFraction is the fraction of the drain bound for which a target is kept after the registry last had it, if its entry may have
-	// expired in an outage that only a lost leader has seen. The rest covers the time until the entry was removed and read.
-	unseenFraction = 0.8
+	// expired in an outage that only a lost leader has seen. Each instance drops it by its own clock, so that the rest only has to cover requests
+	// that are on their way.
+	unseenFraction = 0.9
 	// leaseProof is the age of the leader's last read from which its lease would have ended if the store had not been away for all. The
 	// lease is renewed at most one interval later than the registry is read.
 	leaseProof = leaderTTL + 2*leaderInterval
