target: do not blame targets for a partition between this instance and all of them

Cause: a lost connection and a refused one were taken for the end of a target's process, and that is passed on to the fleet. So were failures and the time until attempts were given up, which lasted after the partition.

Change: a target counts as ended only if another one has accepted a connection since, or does when probed. When the way is back, failures that were seen without it are forgotten; response times of given-up attempts count only if any target was heard meanwhile. Connections are not opened in advance without a way, and one whose request was not answered by then is reset, so that held-up bytes do not arrive later.

--- a/internal/decision/reachability/reachability_test.go
+++ b/internal/decision/reachability/reachability_test.go
@@ -56,7 +56,6 @@
 
 type probes struct {
 	began  time.Duration
-	chosen []int
 	done   time.Duration
 	result reachability.Round
 }
--- a/internal/tier/target/conn.go
+++ b/internal/tier/target/conn.go
@@ -35,13 +35,26 @@
 	// lastUsed is the time at which the last response was read completely, or at which the connection was opened.
 	lastUsed    time.Time
 	idleTimeout time.Duration // idle time after which the connection is no longer reused
-	reused      bool          // set once the connection was acquired without opening it
+	// sentAt is when the request under way was sent, zero if there is none. pool is that of the target.
+	sentAt time.Time
+	pool   *Pool
+	reused bool // set once the connection was acquired without opening it
 }
 
 func (c *conn) close() {
 	_ = c.Close()
 }
 
+// Close closes the connection. If no target was heard since its request was sent, it is reset: bytes that a partition has held up must not
+// reach the target later.
+func (c *conn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && !c.sentAt.IsZero() && !c.pool.heardSince(c.sentAt) {
+		_ = tcp.SetLinger(0)
+	}
+
+	return c.Conn.Close()
+}
+
 // healthy reports whether an idle connection is still open and has no unread bytes. It peeks at the socket without blocking.
 func (c *conn) healthy() bool {
 	if c.reader.Buffered() > 0 {
@@ -242,17 +255,18 @@
 		return nil, Error.Wrap(err)
 	}
 
-	return newConn(netConn, l.pool.replyMemory, l.pool.timers.Now()), nil
+	return l.pool.newConn(netConn), nil
 }
 
-func newConn(netConn net.Conn, memory *replyMemory, now time.Time) *conn {
-	allowance := newAllowance(netConn, memory)
+func (p *Pool) newConn(netConn net.Conn) *conn {
+	allowance := newAllowance(netConn, p.replyMemory)
 
 	return &conn{
+		pool:        p,
 		Conn:        netConn,
 		allowance:   allowance,
 		reader:      bufio.NewReaderSize(allowance, readBufferSize),
-		lastUsed:    now,
+		lastUsed:    p.timers.Now(),
 		idleTimeout: defaultIdleTimeout,
 	}
 }
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -28,6 +28,8 @@
 )
 
 const (
+	// MaxStatus is the highest status of a response in HTTP.
+	MaxStatus = 599
 	// maxMismatched is the maximum number of responses to other requests that one attempt skips on its connection.
 	maxMismatched = 2
 	// maxInterim is the maximum number of interim responses (status 1xx) that one attempt skips.
@@ -157,29 +159,39 @@
 
 		return Result{Outcome: NotRun, Err: errZoneNotAllowed, ConnectionWait: result.ConnectionWait}
 	}
+	c.sentAt = sentAt
 	if !cancel.attach(c) {
+		c.sentAt = time.Time{}
 		l.release(c)
 
 		return Result{Outcome: NotRun, Err: errCancelled, ConnectionWait: result.ConnectionWait}
 	}
 	reusable := l.exchange(c, call, &result)
 	if !cancel.detach() || !reusable {
-		if result.Status == 0 && c.reused {
-			l.closeIdleSince(sentAt)
-		}
-		l.discard(c)
-		if result.Status == 0 && connectionLost(result.Err) && !cancel.Cancelled() {
-			l.failed(reachability.Lost, sentAt)
-		}
-		result.Crashed = result.Outcome == Unknown && connectionLost(result.Err) && !cancel.Cancelled() && l.hasEnded(call.Deadline)
+		l.endConn(c, call, cancel, sentAt, &result)
 	} else {
-		c.lastUsed = l.pool.timers.Now()
+		c.lastUsed, c.sentAt = l.pool.timers.Now(), time.Time{}
 		l.release(c)
 	}
 
 	return result
 }
 
+// endConn closes a connection that cannot be reused after its exchange, and records what that says of the target and of the way to it.
+func (l *Link) endConn(c *conn, call *Call, cancel *Cancel, sentAt time.Time, result *Result) {
+	if result.Status == 0 && c.reused {
+		l.closeIdleSince(sentAt)
+	}
+	l.discard(c)
+	if !connectionLost(result.Err) || cancel.Cancelled() {
+		return
+	}
+	if result.Status == 0 {
+		l.failed(reachability.Lost, sentAt)
+	}
+	result.Crashed = result.Outcome == Unknown && l.hasEnded(call.Deadline) && l.vouches(sentAt)
+}
+
 // exchange writes the request and reads its response. It reports whether the connection can be reused.
 func (l *Link) exchange(c *conn, call *Call, result *Result) (reusable bool) {
 	_ = c.SetDeadline(call.Deadline)
--- a/internal/tier/target/link.go
+++ b/internal/tier/target/link.go
@@ -201,7 +201,8 @@
 	if result.Cancelled {
 		// The response was no longer needed: another attempt was faster, or the query ended. The time until the cancellation is a
 		// lower bound of the latency, so it is recorded only if it exceeds the average or is the first sample.
-		if took, latency := now.Sub(started), l.latencies[call.Route]; latency == nil || took > latency.Value() {
+		// If no target was heard since, it says nothing about this one.
+		if took, latency := now.Sub(started), l.latencies[call.Route]; (latency == nil || took > latency.Value()) && l.pool.heardSince(started) {
 			l.recordLatency(call.Route, took)
 		}
 
--- a/internal/tier/target/reachability.go
+++ b/internal/tier/target/reachability.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,8 @@
 	overdueFactor = 3
 	// minFailedDial is the shortest time after which a connection that was not accepted counts as a failure, if the request had no more time.
 	minFailedDial = 100 * time.Millisecond
+	// vouchingProbes is the number of other targets that are probed before a target counts as ended.
+	vouchingProbes = 3
 )
 
 // reach is what the pool knows of the way that all targets share.
@@ -81,6 +84,7 @@
 	}
 	r.mu.Unlock()
 	if after == reachability.Reachable {
+		p.forgetFailures()
 		p.log.Log(event.TargetsReachable, "Before", before)
 	} else {
 		p.log.Log(event.TargetsUnreachable, "State", after, "Before", before, "Failures", failures, "SinceHeard", p.timers.Since(heard))
@@ -88,6 +92,44 @@
 	p.onReachability(after)
 }
 
+// forgetFailures makes all targets count as well, because the failures were those of the way.
+func (p *Pool) forgetFailures() {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, l := range p.links {
+		l.mu.Lock()
+		l.failureRate, l.endedAt = 0, time.Time{}
+		l.mu.Unlock()
+	}
+}
+
+// vouches waits until another target than l has accepted a connection after a time, or until a check of the way to all targets has ended. It
+// reports whether this instance then had a way, so that a refused connection says that the process of l has ended.
+func (l *Link) vouches(since time.Time) bool {
+	p := l.pool
+	if p.Reachability() != reachability.Reachable {
+		return false
+	}
+	targets, links := p.allTargets()
+	own := slices.IndexFunc(links, func(other *Link) bool { return other == l })
+	if own >= 0 {
+		targets, links = slices.Delete(targets, own, own+1), slices.Delete(links, own, own+1)
+	}
+	if len(links) == 0 {
+		return true
+	}
+	now := p.timers.Now()
+	p.reach.mu.Lock()
+	known := p.reach.monitor.OpenedAt().After(since)
+	chosen := p.reach.monitor.Choose(targets, vouchingProbes, now)
+	p.reach.mu.Unlock()
+	if known {
+		return true
+	}
+
+	return p.probe(links, chosen).Opened > 0
+}
+
 // heard records that a target has sent something on an open connection.
 func (p *Pool) heard() {
 	now := p.timers.Now()
@@ -204,7 +246,9 @@
 		chosen := p.reach.monitor.Choose(targets, n, now)
 		p.reach.mu.Unlock()
 		if n > 0 {
-			p.probe(links, chosen)
+			round := p.probe(links, chosen)
+			now = p.timers.Now()
+			p.observe(func(m *reachability.Monitor) { m.Probed(round, now) })
 
 			continue
 		}
@@ -226,11 +270,19 @@
 	p.reach.mu.Lock()
 	due := p.reach.monitor.Suspected()
 	p.reach.round++
-	round := strconv.Itoa(p.reach.round)
 	p.reach.mu.Unlock()
 	if !due {
 		return nil, nil
 	}
+
+	return p.allTargets()
+}
+
+// allTargets returns the targets that accept requests, and their links.
+func (p *Pool) allTargets() (targets []reachability.Target, links []*Link) {
+	p.reach.mu.Lock()
+	round := strconv.Itoa(p.reach.round)
+	p.reach.mu.Unlock()
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	for _, l := range p.links {
@@ -250,8 +302,8 @@
 	return targets, links
 }
 
-// probe opens a connection to each of the chosen targets and records the results.
-func (p *Pool) probe(links []*Link, chosen []int) {
+// probe opens a connection to each of the chosen targets and returns the results.
+func (p *Pool) probe(links []*Link, chosen []int) reachability.Round {
 	round := reachability.Round{Began: p.timers.Now()}
 	var mu sync.Mutex
 	var pending sync.WaitGroup
@@ -272,8 +324,8 @@
 		})
 	}
 	pending.Wait()
-	now := p.timers.Now()
-	p.observe(func(m *reachability.Monitor) { m.Probed(round, now) })
+
+	return round
 }
 
 // probe opens a connection to the target, and keeps it if another one is allowed.
@@ -300,5 +352,5 @@
 		return
 	}
 	l.open++
-	l.idle = append(l.idle, newConn(netConn, l.pool.replyMemory, l.pool.timers.Now()))
+	l.idle = append(l.idle, l.pool.newConn(netConn))
 }
--- a/internal/tier/target/warm.go
+++ b/internal/tier/target/warm.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/hickorynotch/hickorynotch/internal/decision/reachability"
 )
 
 const (
@@ -25,6 +27,9 @@
 	semaphore := make(chan struct{}, maxWarmDials)
 	for {
 		for _, l := range p.warmLinks(want) {
+			if p.Reachability() != reachability.Reachable {
+				break
+			}
 			if !l.reserveWarmConnection() {
 				continue
 			}
