handover: have peers send what an instance cannot send without a way to the targets

Callers saw: 504 at the deadline or 502 from instances that reach no target, and from instances that are well and had handed a query, or a subset, over to one of those.

Cause: who can reach the targets was no input of any decision. placement.Candidate.Failures was set nowhere; a gatherer without a way accepted queries and answered with few parts and no error; requests for one target could not be handed over at all.

Change: the monitor's state is a fact of the placement. An instance without a way hands over all queries it may, also those for one target by a new call, Forward, in which nothing is sent before the peer has accepted: what was not accepted has not run. The leader lists who has none. What may have run is not sent again unless it is idempotent, and then within the budget of the instance that sends it. Peers that do not know the call are passed over.

--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -28,6 +28,9 @@
 	// they are transferred, which takes a seventh of the bytes.
 	zonePartCost   = 60 * time.Microsecond
 	regionPartCost = 400 * time.Microsecond
+	// unreachableCost exceeds the cost of all instances that reach the targets. An instance that does not tries others of which that is said
+	// after those, because it may be out of date.
+	unreachableCost = 10 * time.Second
 	// gathererFraction is the smallest processor share with which an instance gathers for others, relative to the largest in the
 	// fleet.
 	gathererFraction = 0.5
@@ -42,8 +45,8 @@
 	// Active is the number of queries that the instance is gathering: the number in its last report, plus the queries that were
 	// handed over to it since.
 	Active int
-	// Failures is the fraction of the queries recently handed over to the instance that were not answered.
-	Failures float64
+	// Unreachable is set if the instance has lost its way to the targets, as far as is known.
+	Unreachable bool
 	// LocalShards and RegionShards count the shards with a replica in the instance's availability zone and in its region.
 	LocalShards  int
 	RegionShards int
@@ -77,6 +80,9 @@
 	own = own.Within(q.Scope, place)
 	best := Verdict{Index: -1, Cost: own.gatherCost(q, place)}
 	best.OwnCost = best.Cost
+	if own.Unreachable {
+		best.Cost += unreachableCost
+	}
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Excluded || !place.Allows(q.Scope, c.AvailabilityZone) {
@@ -117,7 +123,11 @@
 		cost += place.RegionRoundTrip()
 	}
 
-	return cost + time.Duration(c.Failures*float64(choice.FailureCost))
+	if c.Unreachable {
+		cost += unreachableCost
+	}
+
+	return cost
 }
 
 // handoverCost estimates the cost of handing over the query from own to a candidate at the given round-trip time.
--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -49,8 +49,11 @@
 
 	RegionUnavailable = declare(5033, "RegionUnavailable", Warning, "A request was refused because too few of its shards have a target in the regions that its route and its account allow; Regions lists them.")
 
-	GathererFailed  = declare(5014, "GathererFailed", Warning, "A peer failed to gather a query; another instance gathers it.")
-	RequestGathered = declare(5015, "RequestGathered", Info, "This instance gathered a query, or some of its shards, for a peer.")
+	GathererFailed   = declare(5014, "GathererFailed", Warning, "A peer failed to gather a query; another instance gathers it.")
+	RequestGathered  = declare(5015, "RequestGathered", Info, "This instance gathered a query, or some of its shards, for a peer.")
+	RequestForwarded = declare(5017, "RequestForwarded", Info, "This instance sent a request to a target for a peer that has no way to the targets.")
+	ForwarderFailed  = declare(5018, "ForwarderFailed", Warning, "A peer failed to send a request to a target for this instance, which has no way to the targets.")
+
 	RequestAnswered = declare(5010, "RequestAnswered", Info, "A request was answered; the line shows what determined its result.")
 	RequestRefused  = declare(5011, "RequestRefused", Warning, "A request was refused and was not executed.")
 	RequestFailed   = declare(5012, "RequestFailed", Warning, "A request ended without an answer and may have been executed.")
--- a/internal/tier/caller/handler.go
+++ b/internal/tier/caller/handler.go
@@ -144,6 +144,9 @@
 // InFlight returns the number of requests that are being served.
 func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
 
+// Limit returns the maximum number of requests that are served concurrently.
+func (h *Handler) Limit() int { return h.maxInFlight }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	endInFlight := h.beginInFlight()
--- a/internal/tier/caller/respond.go
+++ b/internal/tier/caller/respond.go
@@ -39,6 +39,9 @@
 		keyvals = append(keyvals, "Shards", len(q.Route.Gather.Shards), "Missing", answer.Missing,
 			"Gatherer", answer.Gatherer)
 	}
+	if q.Route.Gather == nil && answer.Gatherer != "" {
+		keyvals = append(keyvals, "Forwarder", answer.Gatherer)
+	}
 	if answer.Result != nil {
 		keyvals = append(keyvals, "Target", answer.Result.Target, "TargetTook", answer.Result.Duration)
 		if answer.Result.Err != nil {
--- a/internal/tier/control/value.go
+++ b/internal/tier/control/value.go
@@ -22,6 +22,8 @@
 	Processor float64
 	// LinkBits is the bandwidth of the machine's network link in bits a second.
 	LinkBits float64
+	// Unreachable is set by the leader while the instance reports that it has no way to the targets.
+	Unreachable bool `json:",omitempty"`
 }
 
 // Check returns an error if a required field is missing or invalid. LinkBits may be zero.
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -38,8 +38,9 @@
 	stamp string
 	// lastResult is the latest result, of whichever outcome.
 	lastResult *target.Result
-	// mayHaveRun is set if a target may have run the subrequest.
+	// mayHaveRun is set if a target may have run the subrequest, and tried are targets to which a peer may have sent it.
 	mayHaveRun bool
+	tried      []string
 }
 
 // activeQuery is the state of a query that is being gathered or forwarded. Only the goroutine that executes run changes it. Results
@@ -99,7 +100,7 @@
 		q.call.MaxReplyBytes = target.PartReplyBytes
 	}
 	for i, s := range services {
-		q.subrequests[i].service = s
+		q.subrequests[i].service, q.subrequests[i].tried = s, request.Tried
 	}
 	q.limitCallToScope()
 
@@ -117,6 +118,7 @@
 	defer q.end(ctx)
 
 	timeout := q.d.timers.After(q.d.timers.Until(q.request.Deadline))
+	unreachable := q.d.pool.Unreachable()
 	for {
 		wait, done := q.decide(q.d.timers.Now())
 		if done {
@@ -129,6 +131,11 @@
 			q.handleGroupResult(r)
 		case <-q.d.timers.After(wait):
 			q.sendDueHedges(q.d.timers.Now())
+		case <-unreachable:
+			if q.endUnreachable() {
+				return q.answer
+			}
+			unreachable = nil
 		case <-timeout:
 			if q.subset {
 				q.mergeParts()
@@ -191,7 +198,7 @@
 // handleResult handles the result of an attempt.
 func (q *activeQuery) handleResult(r attemptResult) {
 	s := &q.subrequests[r.index]
-	r.attempt.ended = true
+	r.attempt.ended, r.attempt.outcome = true, r.result.Outcome
 	s.outstanding--
 	q.active--
 	now := q.d.timers.Now()
@@ -240,6 +247,12 @@
 // retry sends a subrequest again whose attempt has failed, if the route and the retry budget allow it.
 func (q *activeQuery) retry(r *attemptResult, now time.Time) {
 	s := &q.subrequests[r.index]
+	if !r.result.Sent && q.forwarded && q.isUnreachable() {
+		// A peer can send it.
+		q.markFailed(s)
+
+		return
+	}
 	if !r.result.Sent {
 		if q.request.Route.Idempotent || !s.mayHaveRun {
 			if q.startAttempt(r.index, now) {
@@ -299,7 +312,7 @@
 
 		return 0, true
 	case verdict.Fail:
-		q.finish(q.failureStatus(), verdict.Reason)
+		q.finish(q.failureStatus(), q.failureReason(verdict.Reason))
 
 		return 0, true
 	}
@@ -349,7 +362,7 @@
 		} else if q.turnIn > 0 {
 			reason = reasonLimited
 		}
-		q.finish(q.failureStatus(), reason)
+		q.finish(q.failureStatus(), q.failureReason(reason))
 
 		return 0, true
 	}
--- a/internal/tier/dispatch/attempt.go
+++ b/internal/tier/dispatch/attempt.go
@@ -14,6 +14,8 @@
 	link   *target.Link
 	cancel target.Cancel
 	ended  bool
+	// outcome is that of an attempt that has ended.
+	outcome target.Outcome
 	// alone is set for an attempt of a query that is sent with care, and thus to one target at a time.
 	alone bool
 }
@@ -37,6 +39,15 @@
 // startFirstAttempt sends subrequest i for the first time.
 func (q *activeQuery) startFirstAttempt(i int, now time.Time) {
 	s := &q.subrequests[i]
+	if n := len(q.request.Tried); n > 0 {
+		// The instance that tried them has counted the first request.
+		s.attemptsUsed, s.mayHaveRun = n, true
+		if !q.startExtraAttempt(i, now) {
+			q.markFailed(s)
+		}
+
+		return
+	}
 	q.d.ledger.CountFirst(now, s.service)
 	if q.request.MaybeSent && !q.allowResend(s, now) {
 		q.markFailed(s)
@@ -154,7 +165,7 @@
 		}
 	}
 
-	return false
+	return slices.Contains(s.tried, l.ID())
 }
 
 // sendDueHedges sends the subrequests that are late to another replica.
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -45,6 +45,9 @@
 	Abandoned Status = "Abandoned"
 )
 
+// ReasonUnreachable is the reason of a query that was not answered because this instance has lost its way to the targets.
+const ReasonUnreachable = "TargetsUnreachable"
+
 // Query is a caller's request.
 type Query struct {
 	Route *route.Route
@@ -71,6 +74,10 @@
 	// MaybeSent is set if another gatherer may already have sent the query to targets. The first attempts are then charged to the
 	// retry budget as well.
 	MaybeSent bool
+	// Service is the service that a peer has chosen for a forwarded query, empty if none has. Tried are the targets to which that peer may have
+	// sent it.
+	Service string
+	Tried   []string
 	// Shards is the subset of the route's shards to gather; nil means all of them. The answer to a subset has one stamp for each
 	// shard, which is empty if the part of the shard is missing. It is returned however few parts there are.
 	Shards []string
@@ -104,8 +111,11 @@
 	MoreFollows bool
 	// Denied counts the hedges and retries that the retry budget did not allow.
 	Denied int
-	// Gatherer is the name of the peer that gathered the answer. It is empty if this instance did.
+	// Gatherer is the name of the peer that gathered the answer, or that forwarded the query to a target. It is empty if this instance did.
 	Gatherer string
+	// Service is the service of a forwarded query. Tried are the targets that may have got it, if the reason is ReasonUnreachable.
+	Service string
+	Tried   []string
 }
 
 // Group is a subset of a query's shards that a peer gathers.
@@ -248,12 +258,17 @@
 
 // Forward sends the query to one target and returns its response.
 func (d *Dispatcher) Forward(ctx context.Context, q *Query) Answer {
-	service := q.Route.Service
-	if len(q.Route.Split) > 0 {
+	service := q.Service
+	switch {
+	case service != "":
+	case len(q.Route.Split) > 0:
 		service = d.nextSplitService(q.Route)
+	default:
+		service = q.Route.Service
 	}
 	active := newActiveQuery(d, q, []string{service})
 	active.forwarded = true
+	active.answer.Service = service
 
 	return active.run(ctx)
 }
--- a/internal/tier/handover/group.go
+++ b/internal/tier/handover/group.go
@@ -80,7 +80,7 @@
 	var lowest float64
 	for k := range h.view.Instances {
 		i := &h.view.Instances[k]
-		if i.AvailabilityZone != zone || i.Name == h.self.Name {
+		if i.AvailabilityZone != zone || i.Name == h.self.Name || i.Unreachable {
 			continue
 		}
 		active := 0
--- a/internal/tier/handover/handover.go
+++ b/internal/tier/handover/handover.go
@@ -18,6 +18,7 @@
 
 	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/decision/placement"
+	"github.com/hickorynotch/hickorynotch/internal/decision/reachability"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/run/timer"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
@@ -28,6 +29,11 @@
 )
 
 const (
+	// maxUnreachableAttempts replaces maxPeerAttempts while this instance has no way to the targets. Most of such attempts are declined within
+	// a round trip, because the peer has none either.
+	maxUnreachableAttempts = 8
+	// unreachableExclusion is the time for which a peer is not asked again after it has declined a query because it has no way to the targets.
+	unreachableExclusion = time.Second
 	// maxPeerAttempts is the number of peers that a query is sent to before this instance gathers it. The objectives leave no time
 	// for a third peer.
 	maxPeerAttempts = 2
@@ -64,6 +70,8 @@
 	timers               *timer.Service
 	log                  *event.Log
 	gather               func(ctx context.Context, q *dispatch.Query) dispatch.Answer
+	forward              func(ctx context.Context, q *dispatch.Query) dispatch.Answer
+	reachability         func() reachability.State
 	onNewerConfiguration func(version uint64)
 	onMirrorRevision     func(mirror uint64)
 
@@ -86,6 +94,8 @@
 	// scopedExcludedUntil is the time until which the peer is excluded for queries that are bound to regions, which its version does not
 	// know.
 	scopedExcludedUntil time.Time
+	// forwardExcludedUntil is the time until which the peer is excluded for queries for one target, because its version does not know the call.
+	forwardExcludedUntil time.Time
 }
 
 // shardCounts counts the shards of a route that have a replica in each availability zone and each region.
@@ -124,6 +134,7 @@
 	}
 	h := &Handover{
 		self: self, place: place, client: client, timers: timers, gather: gather,
+		reachability:         func() reachability.State { return reachability.Reachable },
 		onNewerConfiguration: func(uint64) {},
 		onMirrorRevision:     func(uint64) {},
 		directory:            directory.New(nil),
@@ -175,32 +186,64 @@
 }
 
 // Gather gathers a query at the selected peer, or at this instance if no peer costs less or those that were tried failed. It sets
-// q.MaybeSent if a peer that failed may have sent the query to targets.
+// q.MaybeSent if a peer that failed may have sent the query to targets. While this instance has no way to the targets, it asks more peers, and
+// gathers the query itself only over connections that still work.
 func (h *Handover) Gather(ctx context.Context, q *dispatch.Query) dispatch.Answer {
 	var tried []string
-	attempts := maxPeerAttempts
+	if answer, ok := h.gatherAtPeers(ctx, q, &tried); ok {
+		return answer
+	}
+	if h.reachability() == reachability.Unreachable {
+		return h.refuseUnreachable(q)
+	}
+	answer := h.gatherHere(ctx, q)
+	if !isUnanswered(&answer) {
+		return answer
+	}
+	q.MaybeSent = q.MaybeSent || answer.Status != dispatch.NotRun
+	if later, ok := h.gatherAtPeers(ctx, q, &tried); ok {
+		return later
+	}
+	answer.TurnIn = unreachableRetry
+
+	return answer
+}
+
+// gatherAtPeers has the selected peers gather a query, one after the other. It reports whether the query has ended. The names of the peers are
+// added to tried.
+func (h *Handover) gatherAtPeers(ctx context.Context, q *dispatch.Query, tried *[]string) (answer dispatch.Answer, ended bool) {
 	if !peer.CanCarry(q) || !h.canServe(q) {
-		attempts = 0
+		return answer, false
 	}
-	for range attempts {
-		instance, verdict := h.choosePeer(q, tried)
+	failures := 0
+	for len(*tried) < maxUnreachableAttempts && failures < h.maxFailures() {
+		instance, verdict := h.choosePeer(q, *tried)
 		if instance == nil {
 			break
 		}
-		tried = append(tried, instance.Name)
+		*tried = append(*tried, instance.Name)
 		reply, err := h.gatherAt(ctx, q, instance, nil, nil)
 		if err == nil {
 			reply.Answer.Gatherer = instance.Name
 
-			return reply.Answer
+			return reply.Answer, true
 		}
 		if ctx.Err() != nil {
-			return dispatch.Answer{Status: dispatch.Abandoned, Reason: "CallerLeft", Gatherer: instance.Name}
+			return dispatch.Answer{Status: dispatch.Abandoned, Reason: "CallerLeft", Gatherer: instance.Name}, true
 		}
 		h.log.Log(event.GathererFailed, "Request", q.RequestID, "Gatherer", instance.Name, "Error", err,
 			"Cost", verdict.Cost, "OwnCost", verdict.OwnCost)
 		q.MaybeSent = q.MaybeSent || mayHaveRun(err)
+		if !errors.Is(err, peer.ErrUnreachable) {
+			failures++
+		}
 	}
+
+	return answer, false
+}
+
+// gatherHere gathers a query at this instance.
+func (h *Handover) gatherHere(ctx context.Context, q *dispatch.Query) dispatch.Answer {
 	h.mu.Lock()
 	h.ownActive++
 	h.mu.Unlock()
@@ -225,7 +268,7 @@
 	defer h.mu.Unlock()
 	counts := h.countShards(q.Route)
 	own := h.candidate(&h.self, counts)
-	own.Active = h.ownActive
+	own.Active, own.Unreachable = h.ownActive, h.reachability() != reachability.Reachable
 	candidates := make([]placement.Candidate, 0, len(h.view.Instances))
 	instances := make([]*control.Instance, 0, len(h.view.Instances))
 	for k := range h.view.Instances {
@@ -238,12 +281,13 @@
 			c.Active = p.load(now)
 			c.Excluded = p.excluded(q, now)
 		}
+		c.Excluded = c.Excluded || c.Unreachable && !own.Unreachable
 		for _, name := range tried {
 			c.Excluded = c.Excluded || name == i.Name
 		}
 		candidates, instances = append(candidates, c), append(instances, i)
 	}
-	query := placement.Query{Shards: len(q.Route.Gather.Shards), PartBytes: partBytes, Scope: q.Scope}
+	query := placement.Query{Shards: len(h.shards(q.Route)), PartBytes: partBytes, Scope: q.Scope}
 	verdict := placement.Choose(own, candidates, query, h.place, func(i int) time.Duration {
 		return jitter(h.self.Name, instances[i].Name)
 	})
@@ -263,6 +307,7 @@
 		LinkBits:         i.LinkBits,
 		LocalShards:      counts.byZone[i.AvailabilityZone],
 		RegionShards:     counts.byRegion[h.place.Regions[i.AvailabilityZone]],
+		Unreachable:      i.Unreachable,
 	}
 }
 
@@ -276,7 +321,7 @@
 		clear(h.shardCounts)
 	}
 	counts := &shardCounts{byZone: make(map[string]int), byRegion: make(map[string]int)}
-	for _, service := range r.Gather.Shards {
+	for _, service := range h.shards(r) {
 		zones, regions := make(map[string]bool), make(map[string]bool)
 		for _, t := range h.directory.Service(service) {
 			if h.accepts(t) {
@@ -321,13 +366,7 @@
 	ctx context.Context, q *dispatch.Query, i *control.Instance, shards []string, early func(dispatch.Answer),
 ) (reply peer.Reply, err error) {
 	now := h.timers.Now()
-	roundTrip := h.place.RoundTrip(i.AvailabilityZone)
-	acceptTimeout := acceptRoundTrips*roundTrip + acceptMargin
-	if h.place.Distance(i.AvailabilityZone) == choice.OtherRegion {
-		roundTrip += otherRegionDelay
-	} else {
-		roundTrip += sameRegionDelay
-	}
+	roundTrip, acceptTimeout := h.times(i)
 	request := &peer.GatherRequest{
 		RequestID: q.RequestID,
 		Route:     q.Route.Name,
@@ -347,18 +386,15 @@
 		return reply, peer.ErrDeclined
 	}
 	h.beginCall(i.Name)
-	defer func() { h.endCall(i.Name, &reply, err, ctx.Err() != nil) }()
+	defer func() { h.endCall(i.Name, &reply, err, false, ctx.Err() != nil) }()
 	callCtx, cancel := h.timers.WithTimeout(ctx, q.Deadline.Sub(now))
 	defer cancel()
 
 	reply, err = h.client.Gather(callCtx, i.Peer, request, acceptTimeout, early)
-	if reply.AcceptedAfter > 0 {
-		h.place.RoundTrips.Observe(i.AvailabilityZone, reply.AcceptedAfter)
-	}
-	h.onMirrorRevision(reply.Accepted.Mirror)
-	if errors.Is(err, peer.ErrDeclined) && reply.Accepted.Version > q.Version {
-		h.onNewerConfiguration(reply.Accepted.Version)
+	if err == nil && isUnanswered(&reply.Answer) {
+		err = lostWay(&reply.Answer)
 	}
+	h.observeReply(q, i, &reply, err)
 
 	return reply, err
 }
@@ -376,7 +412,7 @@
 }
 
 // endCall records the load that a peer reported, or excludes the peer for a while if the call failed.
-func (h *Handover) endCall(name string, reply *peer.Reply, err error, abandoned bool) {
+func (h *Handover) endCall(name string, reply *peer.Reply, err error, forwarded, abandoned bool) {
 	now := h.timers.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -390,8 +426,12 @@
 		p.active, p.activeAt, p.failures = reply.Active, now, 0
 	case abandoned:
 		// A cancelled call says nothing about the peer.
+	case errors.Is(err, peer.ErrUnknownCall) && forwarded:
+		p.forwardExcludedUntil = now.Add(maxExclusion)
 	case errors.Is(err, peer.ErrUnknownCall):
 		p.scopedExcludedUntil = now.Add(maxExclusion)
+	case errors.Is(err, peer.ErrUnreachable):
+		p.excludedUntil = now.Add(unreachableExclusion)
 	case errors.Is(err, peer.ErrDeclined) && reply.Accepted.Declined != peer.Stopping:
 		p.excludedUntil = now.Add(minExclusion)
 	default:
--- a/internal/tier/handover/region.go
+++ b/internal/tier/handover/region.go
@@ -15,7 +15,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	served, shards := 0, q.Route.Gather.Shards
+	served, shards := 0, h.shards(q.Route)
 	for _, service := range shards {
 		for _, t := range h.directory.Service(service) {
 			if h.acceptsQuery(t, q) {
@@ -26,7 +26,12 @@
 		}
 	}
 
-	return served >= max(q.Route.Gather.MinimumParts(len(shards)), 1)
+	minimum := 1
+	if q.Route.Gather != nil {
+		minimum = q.Route.Gather.MinimumParts(len(shards))
+	}
+
+	return served >= max(minimum, 1)
 }
 
 // acceptsQuery reports whether a target accepts new requests and is in the regions that a query allows. The caller must hold h.mu.
@@ -36,5 +41,9 @@
 
 // excluded reports whether a query is not sent to a peer for now, because the peer has failed or does not know queries of its kind.
 func (p *peerState) excluded(q *dispatch.Query, now time.Time) bool {
+	if q.Route.Gather == nil {
+		return now.Before(p.excludedUntil) || now.Before(p.forwardExcludedUntil)
+	}
+
 	return now.Before(p.excludedUntil) || q.Scope.IsRestricted() && now.Before(p.scopedExcludedUntil)
 }
--- a/internal/tier/node/fleet.go
+++ b/internal/tier/node/fleet.go
@@ -6,8 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/admission"
 	"github.com/hickorynotch/hickorynotch/internal/decision/budget"
 	"github.com/hickorynotch/hickorynotch/internal/decision/placement"
+	"github.com/hickorynotch/hickorynotch/internal/decision/reachability"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 	"github.com/hickorynotch/hickorynotch/internal/tier/control"
 	"github.com/hickorynotch/hickorynotch/internal/tier/dispatch"
@@ -218,16 +220,8 @@
 		return nil, peer.OtherVersion, 0
 	}
 	version = table.Version()
-	if n.stopping.Load() {
-		return nil, peer.Stopping, version
-	}
-	if !n.targetsKnown.Load() {
-		return nil, peer.NotReady, version
-	}
-	if version != r.Version {
-		n.configuration.RefreshIfOlder(r.Version)
-
-		return nil, peer.OtherVersion, version
+	if declined = n.declines(table, r.Version); declined != "" {
+		return nil, declined, version
 	}
 	for _, matched := range table.Routes() {
 		if matched.Name != r.Route || matched.Gather == nil {
@@ -255,6 +249,63 @@
 	return nil, peer.OtherVersion, version
 }
 
+// declines returns the reason for which a query of a peer, for a version of the configuration, is declined, empty if there is none.
+func (n *Node) declines(table *route.Table, version uint64) string {
+	switch {
+	case n.stopping.Load():
+		return peer.Stopping
+	case !n.targetsKnown.Load():
+		return peer.NotReady
+	case n.targetPool.Reachability() != reachability.Reachable:
+		return peer.Unreachable
+	case version != table.Version():
+		n.configuration.RefreshIfOlder(version)
+
+		return peer.OtherVersion
+	default:
+		return ""
+	}
+}
+
+// prepareForward converts a peer's request to send a query to one target, as prepareGather does.
+func (n *Node) prepareForward(r *peer.ForwardRequest) (q *dispatch.Query, declined string, version uint64) {
+	table := n.configuration.Current()
+	if table == nil {
+		return nil, peer.OtherVersion, 0
+	}
+	version = table.Version()
+	if declined = n.declines(table, r.Version); declined != "" {
+		return nil, declined, version
+	}
+	for _, matched := range table.Routes() {
+		if matched.Name != r.Route || matched.Gather != nil {
+			continue
+		}
+		if r.Service != "" && !slices.Contains(matched.Services(), r.Service) {
+			return nil, peer.OtherVersion, version
+		}
+		scope := matched.ScopeOf(nil).Intersect(r.Scope())
+		if !scope.Allows(n.settings.Regions[n.settings.AvailabilityZone]) {
+			return nil, peer.OutsideRegions, version
+		}
+		verdict := admission.Decide(admission.Facts{
+			InFlight: n.handler.InFlight() + n.peerServer.Active() - 1, Limit: n.handler.Limit(), Priority: r.Priority,
+		})
+		if !verdict.Admit {
+			return nil, verdict.Reason, version
+		}
+		now := n.timers.Now()
+
+		return &dispatch.Query{
+			Account: r.Account, Scope: scope, Priority: r.Priority, Service: r.Service, Tried: r.Tried, MaybeSent: r.Extra,
+			Route: matched, Version: version, RequestID: r.RequestID, Method: r.Method, Head: r.Head,
+			Deadline: now.Add(r.Left), Received: now, Elapsed: r.Elapsed,
+		}, "", version
+	}
+
+	return nil, peer.OtherVersion, version
+}
+
 // priorityOf returns the priority of a query from a peer. Only the requests for queries that are bound to regions carry it.
 func priorityOf(r *peer.GatherRequest, matched *route.Route) int {
 	if r.Scope.IsRestricted() {
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -113,7 +113,9 @@
 	stopping     atomic.Bool
 	// stopStarted is closed when the graceful stop begins.
 	stopStarted chan struct{}
-	loggedReady atomic.Bool // the readiness that was last logged
+	// reachabilityChanged has a value once it has changed whether this instance reaches the targets.
+	reachabilityChanged chan struct{}
+	loggedReady         atomic.Bool // the readiness that was last logged
 	// loggedTable is the configuration whose client accounts were last logged.
 	loggedTable atomic.Pointer[route.Table]
 }
@@ -146,7 +148,7 @@
 	defer func() { err = Error.Wrap(err) }()
 
 	n = &Node{
-		settings: settings, timers: timers, stopStarted: make(chan struct{}), suspects: quarantine.NewList(),
+		settings: settings, timers: timers, stopStarted: make(chan struct{}), reachabilityChanged: make(chan struct{}, 1), suspects: quarantine.NewList(),
 		wrapDispatch: func(d caller.Dispatch) caller.Dispatch { return d },
 	}
 	n.stopCallers = n.stop
@@ -199,7 +201,7 @@
 	})
 	n.targetPool = target.NewPool(adapters.Targets, timers, target.WithLog(n.log), target.WithConnections(n.connectionLimit),
 		target.WithFleet(n.limitFacts), target.OnLeaving(n.reportLeaving), target.WithColdTargets(n.coldTargets()),
-		target.WithName(settings.Name), target.WithMetrics(n.metrics), target.WithReplyMemory(int64(replyMemoryFraction*float64(settings.Memory))))
+		target.WithName(settings.Name), target.OnReachability(n.notifyReachability), target.WithMetrics(n.metrics), target.WithReplyMemory(int64(replyMemoryFraction*float64(settings.Memory))))
 	n.budgets = budget.NewLedger(timers.Now(), n.extraRequestLimits)
 	n.dispatcher = dispatch.New(n.targetPool, n.budgets, timers, dispatch.Settings{
 		Place: place, ReturnPath: defaultReturnPath, Hedges: true,
@@ -224,17 +226,19 @@
 			control.WithApplyBound(operatorBound(&settings)),
 		}, n.configurationOptions...)...)
 	n.handover = handover.New(self, place, n.peerClient, timers, n.dispatcher.Gather, handover.WithLog(n.log),
+		handover.WithForward(n.dispatcher.Forward), handover.WithReachability(n.targetPool.Reachability),
 		handover.OnNewerConfiguration(n.configuration.RefreshIfOlder),
 		handover.OnMirrorRevision(n.members.RefreshIfOlder))
 	n.peerServer = peer.NewServer(n.prepareGather, n.dispatcher.Gather, n.members.Revision, n.handleNotice, timers, n.log,
 		peer.WithFollowers(n.members.Feed().Serve), peer.OnReports(n.members.Feed().Report),
 		peer.OnSuspects(n.members.Feed().ReportSuspects), peer.OnLeaving(n.members.Feed().ReportLeaving),
-		peer.WithQuotas(n.quotas()))
+		peer.WithQuotas(n.quotas()), peer.WithForward(n.prepareForward, n.dispatcher.Forward),
+		peer.OnReachability(n.members.Feed().SetUnreachable))
 	n.targets = control.NewTargets(adapters.TargetSource, timers, n.updateTargets, control.WithTargetsLog(n.log))
 	n.leadership = control.NewLeadership(n.members, n.targets, adapters.KeyValueStore, timers, targetReadInterval, n.log,
 		control.WithConfiguration(n.configuration), control.WithNotify(n.broadcastNotice))
 	n.handler = caller.NewHandler(adapters.Callers, n.configuration.Current,
-		n.wrapDispatch(caller.Dispatch{Gather: n.gather, Forward: n.dispatcher.Forward}), timers,
+		n.wrapDispatch(caller.Dispatch{Gather: n.gather, Forward: n.forward}), timers,
 		n.callerOptions()...)
 	n.callerConnections = caller.NewConnections(n.callerLimits, timers)
 	n.guard = n.newGuard(adapters.Callers)
@@ -263,6 +267,15 @@
 	return n.handover.Gather(ctx, q)
 }
 
+// forward answers a query that one target answers. One that has crashed targets stays at this instance.
+func (n *Node) forward(ctx context.Context, q *dispatch.Query) dispatch.Answer {
+	if n.dispatcher.Suspicion(q).Mode != quarantine.Clear {
+		return n.dispatcher.Forward(ctx, q)
+	}
+
+	return n.handover.Forward(ctx, q)
+}
+
 // Apply updates the instance with reloaded settings. Only the limits for extra requests and the stop timeout take effect. Changes
 // to addresses or to the availability zone require a restart of the process.
 func (n *Node) Apply(settings Settings) {
@@ -367,6 +380,7 @@
 	supervisor.Add(service{"quotas", n.accounts.Run})
 	supervisor.Add(service{"suspects", func(ctx context.Context) error { return n.members.SpreadSuspects(ctx, n.sendSuspects) }})
 	supervisor.Add(service{"reachability", n.targetPool.WatchReachability})
+	supervisor.Add(service{"reachability reports", n.reportReachability})
 	supervisor.Add(service{"connections", func(ctx context.Context) error {
 		return n.targetPool.KeepWarm(ctx, n.wantsIdleConnections)
 	}})
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -161,8 +161,8 @@
 	if !stopAcceptTimer() {
 		return reply, ErrNotAccepted
 	}
-	if reply.Accepted.Declined != "" {
-		return reply, ErrDeclined
+	if err = reply.Accepted.declined(); err != nil {
+		return reply, err
 	}
 	if len(request.Body) > 0 {
 		if err = stream.MsgSend(&GatherBody{Body: request.Body}, encoding{}); err != nil {
--- a/internal/tier/peer/message.go
+++ b/internal/tier/peer/message.go
@@ -131,6 +131,18 @@
 	Active int
 }
 
+// declined returns the error of a query that was declined, nil if it was accepted.
+func (a *GatherAccepted) declined() error {
+	switch a.Declined {
+	case "":
+		return nil
+	case Unreachable:
+		return ErrUnreachable
+	default:
+		return ErrDeclined
+	}
+}
+
 // NoticeRequest carries a control.Notice from the leader.
 type NoticeRequest struct {
 	_       struct{} `cbor:",toarray"`
@@ -192,10 +204,8 @@
 
 // Check implements validator.
 func (a *GatherAnswer) Check() error {
-	switch a.Status {
-	case dispatch.Answered, dispatch.NotRun, dispatch.Unknown, dispatch.TimedOut, dispatch.Abandoned:
-	default:
-		return fmt.Errorf("field Status: %q is not known", a.Status)
+	if err := checkStatus(a.Status); err != nil {
+		return err
 	}
 	if a.Status == dispatch.Answered && len(a.Stamps) == 0 {
 		return errors.New("field Stamps is empty in an answer")
@@ -207,6 +217,15 @@
 	return nil
 }
 
+func checkStatus(s dispatch.Status) error {
+	switch s {
+	case dispatch.Answered, dispatch.NotRun, dispatch.Unknown, dispatch.TimedOut, dispatch.Abandoned:
+		return nil
+	default:
+		return fmt.Errorf("field Status: %q is not known", s)
+	}
+}
+
 func newGatherAnswer(a *dispatch.Answer, active int) *GatherAnswer {
 	return &GatherAnswer{
 		Status: a.Status, Reason: a.Reason, Stamps: a.Stamps, Missing: a.Missing, Records: a.Records, Shed: a.Shed,
--- a/internal/tier/peer/scoped.go
+++ b/internal/tier/peer/scoped.go
@@ -117,12 +117,19 @@
 	if r.Scope.IsRestricted() {
 		message = newScopedGatherRequest(r)
 	}
+
+	return sendAndReceive(stream, r.rpc(), message, accepted)
+}
+
+// sendAndReceive sends the first message of a call and receives the message that accepts or declines it. It fails with ErrUnknownCall if the
+// peer does not know the call.
+func sendAndReceive(stream drpc.Stream, rpc string, message drpc.Message, accepted *GatherAccepted) error {
 	err := stream.MsgSend(message, encoding{})
 	// If the peer has already ended the call, sending fails with io.EOF and receiving with the error of the peer.
 	if err == nil || errors.Is(err, io.EOF) {
 		err = stream.MsgRecv(accepted, encoding{})
 	}
-	if isUnknownCall(err, r.rpc()) {
+	if isUnknownCall(err, rpc) {
 		return errors.Join(ErrUnknownCall, err)
 	}
 
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -32,6 +32,8 @@
 	LengthInHead = "LengthInHead"
 	// OutsideRegions means that the gatherer is not in one of the regions that the query allows.
 	OutsideRegions = "OutsideRegions"
+	// Unreachable means that the gatherer has lost its way to the targets.
+	Unreachable = "TargetsUnreachable"
 )
 
 // errNoBody means that a peer has not sent the body of a query in time.
@@ -52,6 +54,9 @@
 	onSuspects     func([]suspect.Record)
 	onLeaving      func([]*directory.Target)
 	quotas         *Quotas
+	onReachability func(instance string, unreachable bool)
+	prepareForward PrepareForward
+	forward        func(ctx context.Context, q *dispatch.Query) dispatch.Answer
 	timers         *timer.Service
 	log            *event.Log
 	active         atomic.Int64
@@ -95,9 +100,10 @@
 		serveFollower: func(context.Context, *control.FollowRequest, func(*control.Update) error) error {
 			return control.ErrNotLeader
 		},
-		onReports:  func(string, []ratelimit.Report) {},
-		onSuspects: func([]suspect.Record) {},
-		onLeaving:  func([]*directory.Target) {},
+		onReports:      func(string, []ratelimit.Report) {},
+		onReachability: func(string, bool) {},
+		onSuspects:     func([]suspect.Record) {},
+		onLeaving:      func([]*directory.Target) {},
 	}
 	for _, option := range options {
 		option(s)
@@ -125,6 +131,10 @@
 		return s.handleGather(stream, true)
 	case rpcGatherScoped:
 		return s.handleGatherScoped(stream)
+	case rpcReachability:
+		return s.handleReachability(stream)
+	case rpcForward:
+		return s.handleForward(stream)
 	case rpcNotice:
 		return s.handleNotice(stream)
 	case rpcFollow:
@@ -208,13 +218,23 @@
 // receiveBody receives the body of a query. It fails if the body is not received within the timeout, for example because the peer is frozen.
 func (s *Server) receiveBody(stream drpc.Stream, timeout time.Duration) ([]byte, error) {
 	var message GatherBody
+	err := s.receiveWithin(stream, &message, timeout)
+	if err != nil {
+		return nil, err
+	}
+
+	return message.Body, nil
+}
+
+// receiveWithin receives a message, which must not be used after an error.
+func (s *Server) receiveWithin(stream drpc.Stream, message drpc.Message, timeout time.Duration) error {
 	received := make(chan error, 1)
 	// Once the call has ended, MsgRecv returns.
-	go func() { received <- stream.MsgRecv(&message, encoding{}) }()
+	go func() { received <- stream.MsgRecv(message, encoding{}) }()
 	select {
 	case err := <-received:
-		return message.Body, err
+		return err
 	case <-s.timers.After(timeout):
-		return nil, errNoBody
+		return errNoBody
 	}
 }
