dispatch: refuse a query at once if open connections cannot serve it and new ones fail

Callers saw: 502 after some 30 ms, which says that the request may have run, on instances that are all cut off while their open connections live on.

Cause: without a peer that could help, a query was gathered over the connections that were left, also where they served too few of its shards.

Change: such a query is refused as not run before anything is sent.

The test fails without the change (Unknown).

--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -152,7 +152,7 @@
 
 // start starts the subrequests. It reports whether the query is refused instead, before anything was sent.
 func (q *activeQuery) start(ctx context.Context, now time.Time) (refused bool) {
-	if q.refuseOutsideRegions() {
+	if q.refuseOutsideRegions() || q.refuseUnconnected() {
 		return true
 	}
 	q.verdict = q.d.Suspicion(q.request)
--- a/internal/tier/dispatch/unreachable.go
+++ b/internal/tier/dispatch/unreachable.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/hickorynotch/hickorynotch/internal/decision/reachability"
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
 )
@@ -8,6 +10,31 @@
 // isUnreachable reports whether this instance has lost its way to the targets, so that new connections fail.
 func (q *activeQuery) isUnreachable() bool { return q.d.pool.Reachability() != reachability.Reachable }
 
+// refuseUnconnected ends the query if no target accepts a connection and too few shards have one with an open connection, and reports whether
+// it did.
+func (q *activeQuery) refuseUnconnected() (refused bool) {
+	if q.forwarded || q.subset || q.d.pool.Reachability() != reachability.NoNewConnections {
+		return false
+	}
+	connected := 0
+	for i := range q.subrequests {
+		q.loadLinks(q.subrequests[i].service)
+		if slices.ContainsFunc(q.links, (*target.Link).HasIdle) {
+			connected++
+		}
+	}
+	if connected >= max(q.minimumParts(), 1) {
+		return false
+	}
+	status := NotRun
+	if q.request.MaybeSent {
+		status = Unknown
+	}
+	q.finish(status, ReasonUnreachable)
+
+	return true
+}
+
 // endUnreachable ends the query because no target answers on any connection, so that a peer can answer it. It reports whether it did: a query
 // that may have run and is not idempotent waits for its response.
 func (q *activeQuery) endUnreachable() (ended bool) {
--- a/internal/tier/dispatch/unreachable_test.go
+++ b/internal/tier/dispatch/unreachable_test.go
@@ -98,6 +98,34 @@
 	})
 })
 
+var _ = Describe("A query while only open connections work", func() {
+	It("is refused as not run if too few shards have one, instead of failing after some of its parts have run", func() {
+		p := newPartition(4)
+		Expect(p.dispatcher.Forward(context.Background(), p.query(true, time.Minute)).Status).To(Equal(dispatch.Answered))
+		for _, b := range p.backends {
+			_ = b.server.Listener.Close()
+		}
+		for p.pool.Reachability() == reachability.Reachable {
+			p.dispatcher.Forward(context.Background(), p.query(false, time.Second))
+		}
+		Expect(p.pool.Reachability()).To(Equal(reachability.NoNewConnections))
+		sent := func() (n int64) {
+			for _, b := range p.backends {
+				n += b.requests.Load()
+			}
+
+			return n
+		}
+		before := sent()
+		q := p.query(true, time.Minute)
+		q.Route = gatherRoute(1, "s", "other")
+		answer := p.dispatcher.Gather(context.Background(), q)
+		Expect(answer.Status).To(Equal(dispatch.NotRun))
+		Expect(answer.Reason).To(Equal(dispatch.ReasonUnreachable))
+		Expect(sent()).To(Equal(before))
+	})
+})
+
 var _ = Describe("A query that a peer may have sent to targets that it names", func() {
 	It("is sent to another one, as a retry, and not to more than the route allows (BUDGET)", func() {
 		p := newPartition(4)
--- a/internal/tier/target/conn.go
+++ b/internal/tier/target/conn.go
@@ -317,6 +317,14 @@
 	l.open--
 }
 
+// HasIdle reports whether the link has an open connection that no request uses.
+func (l *Link) HasIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return len(l.idle) > 0
+}
+
 // closeIdleSince closes the idle connections that have not completed a response since the given time. It is called when a request
 // on a reused connection ends without a response: a cause such as a network partition usually affects all connections that were
 // open at the time.
