--- a/internal/proof/soak/fault.go
+++ b/internal/proof/soak/fault.go
@@ -27,6 +27,7 @@
 		r.injectStoreFault, r.injectStoreLinkFault, r.injectPeerLinkFault, r.injectPeerLinkFault,
 		r.injectTargetFault, r.injectTargetFault, r.injectTargetFault, r.injectTargetFault, r.injectTargetLinkFault,
 		r.reuseTargetAddress, r.reuseTargetAddress, r.reuseTargetAddress, r.drainTarget, r.discardStoreHistory, r.killAllButOne,
+		r.cutTargets,
 	}
 	if r.settings.Restores {
 		events = append(events, r.restoreStore, r.restoreStore, r.restoreStore)
@@ -242,6 +243,37 @@
 	time.AfterFunc(d, func() { b.proxy.setMode(Pass) })
 }
 
+// cutTargets cuts all instances off from all targets: their connections are silent or reset, or live on, and new ones are refused.
+func (r *soakRun) cutTargets() {
+	how, d := randomElement(r, []Mode{Silence, Reset, Pass}), r.randomDuration(300, 4000)
+	r.logf("all targets are cut off, open connections: %s for %v", how, d)
+	r.noteDisturbance(d)
+	for _, b := range r.env.targets {
+		// An error of a listener that is closed cannot occur.
+		_ = b.proxy.setCut(true)
+		if how != Pass {
+			b.proxy.setMode(how)
+		}
+	}
+	time.AfterFunc(d, r.healTargets)
+}
+
+// healTargets ends what cutTargets has begun.
+func (r *soakRun) healTargets() {
+	for _, b := range r.env.allTargets() {
+		b.proxy.setMode(Pass)
+		err := b.proxy.setCut(false)
+		// The port may stay in use for a moment after it was closed.
+		for tries := 0; err != nil && tries < listenTries; tries++ {
+			time.Sleep(listenRetryDelay)
+			err = b.proxy.setCut(false)
+		}
+		if err != nil {
+			r.checker.report("a target that was cut off could not be reached again: %v", err)
+		}
+	}
+}
+
 // drainTarget starts a replacement for a target, and then marks the target as draining. completeDrains later gives its address to
 // another target.
 func (r *soakRun) drainTarget() {
--- a/internal/proof/soak/proxy.go
+++ b/internal/proof/soak/proxy.go
@@ -34,6 +34,8 @@
 
 	mu          sync.Mutex
 	listener    net.Listener // nil while connections are refused
+	ended       bool         // the process behind the proxy has ended
+	cut         bool         // new connections are refused, because there is no way to the proxy
 	target      string
 	mode        Mode
 	modeChanged chan struct{}
@@ -61,7 +63,27 @@
 func (p *proxy) listen() (err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.listener != nil {
+	p.ended = false
+
+	return p.listenIfPossible()
+}
+
+// setCut refuses new connections, or accepts them again. Open ones are not affected.
+func (p *proxy) setCut(cut bool) (err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut = cut
+	if cut && p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+
+	return p.listenIfPossible()
+}
+
+// listenIfPossible accepts connections if nothing speaks against it. p.mu must be held.
+func (p *proxy) listenIfPossible() (err error) {
+	if p.listener != nil || p.ended || p.cut {
 		return nil
 	}
 	if p.listener, err = new(net.ListenConfig).Listen(context.Background(), "tcp", p.listenAddress); err != nil {
@@ -75,6 +97,7 @@
 // close closes all connections and refuses further ones, as when the process behind the proxy has ended.
 func (p *proxy) close() {
 	p.mu.Lock()
+	p.ended = true
 	if p.listener != nil {
 		_ = p.listener.Close()
 		p.listener = nil
--- a/internal/proof/soak/soak.go
+++ b/internal/proof/soak/soak.go
@@ -234,6 +234,7 @@
 		b.replica.SetFault(replica.None)
 		b.proxy.setMode(Pass)
 	}
+	r.healTargets()
 	r.writeHeartbeats()
 }
 
--- a/internal/proof/soak/world.go
+++ b/internal/proof/soak/world.go
@@ -60,6 +60,7 @@
 	targetsStarted int
 	crashes        crashes
 
+	// mu guards the fields below, and targets while a target is added.
 	mu sync.Mutex
 	// peerProxies has the proxies for connections between instances, by the real peer address that each one forwards to.
 	peerProxies map[netip.AddrPort]*proxy
@@ -156,12 +157,22 @@
 	}
 	b := &backend{replica: r, address: address, zone: zone, proxy: p}
 	r.OnCrash(func() { e.crashes.end(b) })
+	e.mu.Lock()
 	e.targets = append(e.targets, b)
+	e.mu.Unlock()
 	e.registerTarget(b)
 
 	return nil
 }
 
+// allTargets returns the targets, for goroutines other than that of the run.
+func (e *environment) allTargets() []*backend {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return slices.Clone(e.targets)
+}
+
 // registerTarget writes the entry of a target to the store, as its heartbeat does. The entry names the address of the proxy.
 func (e *environment) registerTarget(b *backend) {
 	b.sequence++
