target: take in the refusal of an attempt that was cancelled

Cause: cancelling an attempt closes its connection, and the answer that is on its way is lost, with the time that the target named.

A complete response counts, and its connection is used again.

The test fails without the change.

--- a/internal/tier/target/absence_test.go
+++ b/internal/tier/target/absence_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -60,6 +61,53 @@
 		}
 	})
 
+	It("gets none either if the attempt that it refused was cancelled before the refusal arrived (BUDGET)", func() {
+		answered, cancelled := make(chan struct{}, 1), make(chan struct{})
+		server := startTarget(func(n int, id string) string {
+			if n == 1 {
+				return okResponse(id, "x")
+			}
+			answered <- struct{}{}
+			<-cancelled
+
+			return refusal(id, 503, time.Minute)
+		})
+		// The time of the instance stands still, so that a busy machine is not slower than the refusal may be.
+		pool := target.NewPool(codec, timer.New(timer.WithClock(clockwork.NewFakeClockAt(time.Now()))))
+		DeferCleanup(pool.Close)
+		pool.Update(directory.New([]*directory.Target{{ID: "i-1", Service: "s", Address: server.address, Slots: 2}}))
+		l := pool.Links(nil, "s")[0]
+		send(l, "r1")
+		var cancel target.Cancel
+		result := make(chan target.Result, 1)
+		go func() { result <- l.Send(newCall("r2"), &cancel) }()
+		<-answered
+		cancel.Cancel()
+		close(cancelled)
+		Expect((<-result).Cancelled).To(BeTrue())
+		Expect(l.TurnIn(time.Now())).To(BeNumerically(">", 50*time.Second))
+		Expect(reserve(l, 0)).To(BeFalse())
+	})
+
+	It("closes the connection of a cancelled attempt that it neither refuses nor answers, so that the target drops the request (GONE)", func() {
+		received := make(chan struct{}, 1)
+		server := startTarget(func(int, string) string {
+			received <- struct{}{}
+
+			return "hang"
+		})
+		l := newLink(server)
+		var cancel target.Cancel
+		go func() { l.Send(newCall("r1"), &cancel) }()
+		<-received
+		cancel.Cancel()
+		Eventually(func() int {
+			_, _, closed := server.counts()
+
+			return closed
+		}, "5s", "5ms").Should(Equal(1))
+	})
+
 	It("does not get the requests that waited for a connection meanwhile", func() {
 		server := startTarget(func(n int, id string) string {
 			time.Sleep(50 * time.Millisecond)
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -7,8 +7,10 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
+	"github.com/hickorynotch/hickorynotch/internal/decision/choice"
 	"github.com/hickorynotch/hickorynotch/internal/decision/reachability"
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 )
@@ -36,6 +38,8 @@
 	maxInterim = 8
 	// maxHeadBytes is the maximum size of the head of a response, and of interim responses and chunk framing on top of its body.
 	maxHeadBytes = 64 << 10
+	// refusalTime is the time in which a target in another region refuses a request: a round trip and the delay at small instances.
+	refusalTime = choice.RegionDelay + 13*time.Millisecond
 	// concurrentWriteSize is the body size from which the request is written concurrently with reading the response, because a
 	// target may respond before it has read the whole body.
 	concurrentWriteSize = 16 << 10
@@ -160,14 +164,17 @@
 		return Result{Outcome: NotRun, Err: errZoneNotAllowed, ConnectionWait: result.ConnectionWait}
 	}
 	c.sentAt = sentAt
-	if !cancel.attach(c) {
+	_ = c.SetDeadline(call.Deadline)
+	closer := &exchangeCloser{conn: c, refusedBy: sentAt.Add(refusalTime), bodyBytes: len(call.Body)}
+	if !cancel.attach(closer) {
 		c.sentAt = time.Time{}
 		l.release(c)
 
 		return Result{Outcome: NotRun, Err: errCancelled, ConnectionWait: result.ConnectionWait}
 	}
 	reusable := l.exchange(c, call, &result)
-	if !cancel.detach() || !reusable {
+	cancel.detach()
+	if closed := closer.end(); closed || !reusable {
 		l.endConn(c, call, cancel, sentAt, &result)
 	} else {
 		c.lastUsed, c.sentAt = l.pool.timers.Now(), time.Time{}
@@ -177,6 +184,56 @@
 	return result
 }
 
+// exchangeCloser closes the connection of an attempt that was cancelled. A target that refuses a request does so at once, and may name a time in
+// which it wants no others, so its refusal is waited for.
+type exchangeCloser struct {
+	conn *conn
+	// refusedBy is the time by which a refusal has arrived.
+	refusedBy time.Time
+	bodyBytes int
+
+	mu     sync.Mutex
+	ended  bool
+	closed bool
+	stop   func() bool
+}
+
+// Close implements io.Closer.
+func (e *exchangeCloser) Close() error {
+	timers := e.conn.pool.timers
+	if left := timers.Until(e.refusedBy); left > 0 && e.bodyBytes < concurrentWriteSize {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.stop = timers.AfterFunc(left, e.close)
+
+		return nil
+	}
+	e.close()
+
+	return nil
+}
+
+func (e *exchangeCloser) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.ended {
+		e.closed = true
+		e.conn.close()
+	}
+}
+
+// end records that the exchange has ended. It reports whether the connection was closed.
+func (e *exchangeCloser) end() (closed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+	if e.stop != nil {
+		e.stop()
+	}
+
+	return e.closed
+}
+
 // endConn closes a connection that cannot be reused after its exchange, and records what that says of the target and of the way to it.
 func (l *Link) endConn(c *conn, call *Call, cancel *Cancel, sentAt time.Time, result *Result) {
 	if result.Status == 0 && c.reused {
@@ -194,7 +251,6 @@
 
 // exchange writes the request and reads its response. It reports whether the connection can be reused.
 func (l *Link) exchange(c *conn, call *Call, result *Result) (reusable bool) {
-	_ = c.SetDeadline(call.Deadline)
 	defer c.allowance.release()
 	remaining := l.pool.timers.Until(call.Deadline)
 	if remaining <= 0 {
--- a/internal/tier/target/link.go
+++ b/internal/tier/target/link.go
@@ -198,7 +198,7 @@
 	}
 	l.recordRateLimit(result, now)
 	l.recordAbsence(result, now)
-	if result.Cancelled {
+	if result.Cancelled && result.Status == 0 {
 		// The response was no longer needed: another attempt was faster, or the query ended. The time until the cancellation is a
 		// lower bound of the latency, so it is recorded only if it exceeds the average or is the first sample.
 		// If no target was heard since, it says nothing about this one.
