target: fail responses whose status is none of a response

Seen with raw targets: a status of 101, 600 or 999 reaches the caller as the answer to a request that is not idempotent; 000 to 099 (also +20) are skipped as interim responses, and the attempt waits for another head until its deadline.

Cause: one comparison with 200 told interim responses from answers.

Change: statuses outside 100 to 599, and 101, fail the attempt as one that may have run.

The tests at the dispatcher fail for all six statuses without the change: three pass the answer on, three end at the deadline.

--- a/internal/tier/target/endless_test.go
+++ b/internal/tier/target/endless_test.go
@@ -158,6 +158,24 @@
 })
 
 var _ = Describe("Send", func() {
+	DescribeTable("fails at a status that is none of a response, instead of passing it on or waiting for another head (MIXED)",
+		func(status string) {
+			server := startTarget(func(_ int, id string) string {
+				return strings.Replace(okResponse(id, "body"), "200 OK", status, 1)
+			})
+			l := newLink(server)
+			call := newCall("r1")
+			call.Deadline = time.Now().Add(time.Minute)
+			result := l.Send(call, &target.Cancel{})
+			Expect(result.Outcome).To(Equal(target.Unknown))
+			Expect(result.Status).To(BeZero())
+			Expect(result.ForwardableError()).To(BeFalse())
+			Expect(l.Facts("r", time.Now()).Failures).To(BeNumerically(">", 0))
+		},
+		Entry("000", "000 X"), Entry("+20", "+20 X"), Entry("099", "099 X"), Entry("101", "101 Switching Protocols"),
+		Entry("600", "600 X"), Entry("999", "999 X"),
+	)
+
 	It("skips interim responses, because they do not answer the request", func() {
 		server := startTarget(func(_ int, id string) string { return "HTTP/1.1 100 Continue\r\n\r\n" + okResponse(id, "body") })
 		result := newLink(server).Send(newCall("r1"), &target.Cancel{})
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -48,6 +48,7 @@
 var (
 	errRequestIDMismatch = errors.New("response carries the ID of another request")
 	errNoRequestID       = errors.New("successful response without a request ID on a connection that was used before")
+	errStatus            = errors.New("response has a status that is none of a response")
 	errHeadTooLarge      = fmt.Errorf("response head too large: more than the limit of %d bytes", maxHeadBytes)
 )
 
@@ -389,7 +390,8 @@
 	return keepAlive, nil
 }
 
-// readFinalHead reads the head of a response and skips interim responses before it.
+// readFinalHead reads the head of a response and skips interim responses before it. A status that no response to a request can have fails: HTTP
+// knows none below 100 and above MaxStatus, and no request asks for another protocol.
 func readFinalHead(c *conn, method string) (response *http.Response, err error) {
 	for range maxInterim + 1 {
 		response, err = http.ReadResponse(c.reader, &http.Request{Method: method})
@@ -400,7 +402,11 @@
 			return nil, errHeadTooLarge
 		case err != nil:
 			return nil, err
-		case response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols:
+		case response.StatusCode < http.StatusContinue, response.StatusCode == http.StatusSwitchingProtocols, response.StatusCode > MaxStatus:
+			_ = response.Body.Close()
+
+			return nil, fmt.Errorf("%w: %d", errStatus, response.StatusCode)
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		}
 		_ = response.Body.Close()
