dispatch, peer: refuse what no target can get, and bound the responses that peers pass on

Responses of up to 4 MB that peers pass on had no bound together; they have an eighth of the machine's memory, like those of targets.

--- a/internal/tier/dispatch/unreachable.go
+++ b/internal/tier/dispatch/unreachable.go
@@ -10,24 +10,20 @@
 // isUnreachable reports whether this instance has lost its way to the targets, so that new connections fail.
 func (q *activeQuery) isUnreachable() bool { return q.d.pool.Reachability() != reachability.Reachable }
 
-// refuseUnconnected ends the query if no target accepts a connection and too few shards have one with an open connection, and reports whether
-// it did.
+// refuseUnconnected ends the query if no target answers on any connection, or if none accepts one and too few shards have one with an open
+// connection. It reports whether it did.
 func (q *activeQuery) refuseUnconnected() (refused bool) {
-	if q.forwarded || q.subset || q.d.pool.Reachability() != reachability.NoNewConnections {
+	switch q.d.pool.Reachability() {
+	case reachability.Reachable:
 		return false
-	}
-	connected := 0
-	for i := range q.subrequests {
-		q.loadLinks(q.subrequests[i].service)
-		if slices.ContainsFunc(q.links, (*target.Link).HasIdle) {
-			connected++
+	case reachability.NoNewConnections:
+		if q.forwarded || q.subset || q.connectedShards() >= max(q.minimumParts(), 1) {
+			return false
 		}
-	}
-	if connected >= max(q.minimumParts(), 1) {
-		return false
+	case reachability.Unreachable:
 	}
 	status := NotRun
-	if q.request.MaybeSent {
+	if q.request.MaybeSent || len(q.request.Tried) > 0 {
 		status = Unknown
 	}
 	q.finish(status, ReasonUnreachable)
@@ -35,6 +31,18 @@
 	return true
 }
 
+// connectedShards returns the number of shards that have a target with an open connection.
+func (q *activeQuery) connectedShards() (n int) {
+	for i := range q.subrequests {
+		q.loadLinks(q.subrequests[i].service)
+		if slices.ContainsFunc(q.links, (*target.Link).HasIdle) {
+			n++
+		}
+	}
+
+	return n
+}
+
 // endUnreachable ends the query because no target answers on any connection, so that a peer can answer it. It reports whether it did: a query
 // that may have run and is not idempotent waits for its response.
 func (q *activeQuery) endUnreachable() (ended bool) {
--- a/internal/tier/node/node.go
+++ b/internal/tier/node/node.go
@@ -208,7 +208,7 @@
 	}, dispatch.WithLog(n.log), dispatch.WithMetrics(n.metrics),
 		dispatch.WithGroups(func(q *dispatch.Query) []dispatch.Group { return n.handover.Groups(q) }),
 		dispatch.WithSuspects(n.suspects, func(f suspect.Fingerprint, instances int) bool { return n.members.IsResponsible(f.String(), instances) }))
-	n.peerClient = peer.NewClient(timers)
+	n.peerClient = peer.NewClient(timers, peer.WithResponseMemory(int64(replyMemoryFraction*float64(settings.Memory))))
 	n.accounts = n.newAccounts()
 	n.members = control.NewFleet(adapters.KeyValueStore, self, timers, control.WithFleetLog(n.log),
 		control.WithDrainBound(settings.DrainBound), control.OnView(n.updateView), control.WithSuspects(n.suspects),
--- a/internal/tier/peer/client.go
+++ b/internal/tier/peer/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcconn"
@@ -43,6 +44,10 @@
 type Client struct {
 	timers *timer.Service
 
+	// responses is the memory for the responses that peers are passing on.
+	responses      atomic.Int64
+	responseMemory int64
+
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*connection // by the peer's address, most recently used last
 	closed bool
@@ -56,9 +61,25 @@
 	reused   bool // set once the connection has been handed out from the pool
 }
 
+// ClientOption configures a Client.
+type ClientOption func(*Client)
+
+// WithResponseMemory limits the size of all responses that peers are passing on at the same time, in bytes. One that would exceed it fails.
+func WithResponseMemory(limit int64) ClientOption {
+	return func(c *Client) { c.responseMemory = limit }
+}
+
+// defaultResponseMemory is the default of WithResponseMemory.
+const defaultResponseMemory = 32 << 20
+
 // NewClient returns a Client. It opens connections on demand.
-func NewClient(timers *timer.Service) *Client {
-	return &Client{timers: timers, idle: make(map[netip.AddrPort][]*connection)}
+func NewClient(timers *timer.Service, options ...ClientOption) *Client {
+	c := &Client{timers: timers, idle: make(map[netip.AddrPort][]*connection), responseMemory: defaultResponseMemory}
+	for _, option := range options {
+		option(c)
+	}
+
+	return c
 }
 
 // Close closes the idle connections. Connections in use are closed when their calls end.
--- a/internal/tier/peer/forward.go
+++ b/internal/tier/peer/forward.go
@@ -32,6 +32,9 @@
 // ErrUnreachable means that the peer has lost its way to the targets.
 var ErrUnreachable = fmt.Errorf("%w, because it does not reach the targets", ErrDeclined)
 
+// errResponseMemory means that there is no memory for a response.
+var errResponseMemory = errors.New("the responses that peers are passing on take too much memory")
+
 // ForwardRequest asks a peer to send a query to one target.
 type ForwardRequest struct {
 	_         struct{} `cbor:",toarray"`
@@ -238,7 +241,7 @@
 	if err = stream.MsgRecv(&answer, encoding{}); err != nil {
 		return reply, lostOrCancelled(ctx, err)
 	}
-	body, err := receiveResponse(stream, answer.Response)
+	body, err := c.receiveResponse(stream, answer.Response)
 	if err != nil {
 		return reply, lostOrCancelled(ctx, err)
 	}
@@ -248,10 +251,14 @@
 }
 
 // receiveResponse receives the body of a response.
-func receiveResponse(stream drpc.Stream, r *ForwardedResponse) (body []byte, err error) {
+func (c *Client) receiveResponse(stream drpc.Stream, r *ForwardedResponse) (body []byte, err error) {
 	if r == nil {
 		return nil, nil
 	}
+	defer c.responses.Add(-int64(r.Size))
+	if c.responses.Add(int64(r.Size)) > c.responseMemory {
+		return nil, errResponseMemory
+	}
 	for len(body) < r.Size {
 		var chunk ResponseChunk
 		if err := stream.MsgRecv(&chunk, encoding{}); err != nil {
