emulator: replay a partition between instances and all replicas

The model takes the leader's list as up to date, and queries under way at an instance that loses its way as lost.

--- a/internal/emulator/pattern/pattern.go
+++ b/internal/emulator/pattern/pattern.go
@@ -36,6 +36,7 @@
 	ZoneDelay   duration.Duration
 	RegionDelay duration.Duration
 	Instances   []Instances
+	Partitions  []Partition `json:",omitempty"`
 	Targets     Targets
 	Queries     Queries
 	Budget      Budget
@@ -50,6 +51,15 @@
 	LinkBits  float64
 }
 
+// Partition cuts some instances off from all replicas between From and To.
+type Partition struct {
+	From, To duration.Duration
+	// Fraction is the fraction of the instances of each entry of Pattern.Instances that are cut off.
+	Fraction float64
+	// Refuse makes requests fail at once. Otherwise they hang.
+	Refuse bool `json:",omitempty"`
+}
+
 // Targets describes the replicas of the shards.
 type Targets struct {
 	Shards int
@@ -184,6 +194,9 @@
 		requirePositive(path+".Processor", group.Processor)
 		requirePositive(path+".LinkBits", group.LinkBits)
 	}
+	for i := range p.Partitions {
+		faults.Merge(fmt.Sprintf("Partitions[%d]", i), p.Partitions[i].validate())
+	}
 	for i, name := range p.Targets.AvailabilityZones {
 		requireZone(fmt.Sprintf("Targets.AvailabilityZones[%d]", i), name)
 	}
@@ -218,3 +231,15 @@
 
 	return faults
 }
+
+// validate returns all errors of the partition.
+func (p *Partition) validate() (faults fault.List) {
+	if p.To <= p.From {
+		faults.Add("To", "must be after From")
+	}
+	if !(p.Fraction > 0) {
+		faults.Add("Fraction", "must be positive")
+	}
+
+	return faults
+}
--- a/internal/emulator/pattern/pattern_test.go
+++ b/internal/emulator/pattern/pattern_test.go
@@ -51,6 +51,8 @@
 			`Targets.AvailabilityZones[1]: "Paris" is not one of Zones`),
 		Entry("rejects a pause that is longer than the pause interval", "PauseLength: 250ms", "PauseLength: 7s",
 			"Targets.PauseLength: 7s is not below PauseEvery"),
+		Entry("rejects a partition that ends before it begins and cuts off no instance", "Targets:",
+			"Partitions:\n  - {From: 5s, To: 4s, Fraction: 0}\nTargets:", "Partitions[0].To: must be after From", "Partitions[0].Fraction: must be positive"),
 		Entry("rejects a deadline below the objective", "Deadline: 2s", "Deadline: 100ms",
 			"Queries.Deadline: 100ms is below the Objective of 200ms"),
 	)
--- a/internal/emulator/replay/query.go
+++ b/internal/emulator/replay/query.go
@@ -48,8 +48,13 @@
 			return
 		}
 	}
-	i.active++
 	q.gatherer = s.chooseGatherer(q)
+	if q.gatherer == i && s.isUnreachable(i) {
+		s.refuse(q)
+
+		return
+	}
+	i.active++
 	if q.gatherer == i {
 		q.gather()
 
@@ -91,10 +96,13 @@
 	candidates := make([]placement.Candidate, 0, len(s.instances))
 	for _, i := range s.instances {
 		c := i.candidate()
-		c.Excluded = i == q.origin
+		// An instance without a way to the replicas declines.
+		c.Excluded = i == q.origin || s.isUnreachable(i)
 		candidates = append(candidates, c)
 	}
-	verdict := placement.Choose(q.origin.candidate(), candidates,
+	own := q.origin.candidate()
+	own.Unreachable = s.isUnreachable(q.origin)
+	verdict := placement.Choose(own, candidates,
 		placement.Query{Shards: len(s.shards), PartBytes: s.pattern.Targets.PartBytes, Scope: s.scope}, q.origin.location,
 		func(int) time.Duration { return time.Duration(s.random.Int64N(int64(3 * time.Millisecond))) })
 	if verdict.Index < 0 {
@@ -155,6 +163,27 @@
 	if !g.location.Allows(s.allowed, r.zone) {
 		s.result.SentOutside++
 	}
+	s.watchSilence(g)
+	if p := s.partition(g); p != nil {
+		s.lose(g, r, p, func() {
+			state.requestEnded(sent, s.now, false)
+			q.attemptEnded(n, false, s.now-sent)
+		})
+	} else {
+		q.reach(n, r, sent)
+	}
+	if !s.policy.Off.Has(Hedging) {
+		s.schedule(q.hedgeDelay(n, r), func() {
+			if !q.done && !shard.answered && shard.outstanding > 0 {
+				q.sendExtra(n)
+			}
+		})
+	}
+}
+
+// reach plays a request to shard n that reaches its replica.
+func (q *query) reach(n int, r *replica, sent time.Duration) {
+	s, g, state := q.sim, q.gatherer, q.gatherer.state(r)
 	s.schedule(s.transfer(g, r.zone, 0), func() {
 		r.serve(func(response response) {
 			bytes := 0.0
@@ -163,6 +192,7 @@
 			}
 			s.schedule(s.transfer(g, r.zone, bytes), func() {
 				g.receive(s, bytes, partProcessorTime, func() {
+					g.way.monitor.Heard(s.decisionTime())
 					state.requestEnded(sent, s.now, response.ok)
 					state.reportedLoad, state.reportedAt = response.load, s.now
 					state.hear(response, s.now)
@@ -171,13 +201,6 @@
 			})
 		})
 	})
-	if !s.policy.Off.Has(Hedging) {
-		s.schedule(q.hedgeDelay(n, r), func() {
-			if !q.done && !shard.answered && shard.outstanding > 0 {
-				q.sendExtra(n)
-			}
-		})
-	}
 }
 
 // chooseReplica returns a replica of shard n that has not been tried yet, or nil if there is none or MaxAttempts is reached.
--- a/internal/emulator/replay/replay.go
+++ b/internal/emulator/replay/replay.go
@@ -46,13 +46,15 @@
 	Absence Mechanism = "Absence"
 	// Leaving off: a replica that has said that it leaves gets requests until it is gone.
 	Leaving Mechanism = "Leaving"
+	// Reachability off: instances that reach no replica gather queries, and are chosen for that by others.
+	Reachability Mechanism = "Reachability"
 	// Regions off: queries are sent to replicas and instances in any region.
 	Regions Mechanism = "Regions"
 )
 
 // Mechanisms lists all mechanisms.
 func Mechanisms() []Mechanism {
-	return []Mechanism{Choice, Hedging, Coverage, Budget, Admission, Placement, RoundTrips, Absence, Leaving, Regions}
+	return []Mechanism{Choice, Hedging, Coverage, Budget, Admission, Placement, RoundTrips, Absence, Leaving, Reachability, Regions}
 }
 
 // Policy selects the mechanisms that are off.
--- a/internal/emulator/replay/replay_test.go
+++ b/internal/emulator/replay/replay_test.go
@@ -41,6 +41,7 @@
 	Entry("admission control increases the worth while more queries arrive than the instances can serve",
 		"burst", replay.Admission),
 	Entry("gathering at strong instances increases the worth while most instances are small", "small-machines", replay.Placement),
+	Entry("handing queries over increases the worth while most instances reach no replica", "stranded", replay.Reachability),
 	Entry("measured round-trip times increase the worth while the regions are farther apart than usual",
 		"far-regions", replay.RoundTrips),
 )
--- a/internal/emulator/replay/world.go
+++ b/internal/emulator/replay/world.go
@@ -25,6 +25,10 @@
 	replicas      map[*replica]*replicaState
 	budgets       []*budget.Window // by shard
 	responseTimes hedging.Tracker  // 90th percentile over all successful requests to targets
+	// rank is the position among the instances of its group, as a fraction of their number. way is what the instance knows of its way to the
+	// replicas.
+	rank float64
+	way  way
 }
 
 // replicaState is what an instance knows about a replica.
@@ -66,8 +70,10 @@
 		s.shards = append(s.shards, replicas)
 	}
 	for _, group := range s.pattern.Instances {
-		for range group.Count {
-			s.instances = append(s.instances, s.newInstance(group.AvailabilityZone, group.Processor, group.LinkBits))
+		for n := range group.Count {
+			i := s.newInstance(group.AvailabilityZone, group.Processor, group.LinkBits)
+			i.rank = (float64(n) + 0.5) / float64(group.Count)
+			s.instances = append(s.instances, i)
 		}
 	}
 }
