--- a/internal/emulator/pattern/pattern.go
+++ b/internal/emulator/pattern/pattern.go
@@ -194,9 +194,7 @@
 		requirePositive(path+".Processor", group.Processor)
 		requirePositive(path+".LinkBits", group.LinkBits)
 	}
-	for i := range p.Partitions {
-		faults.Merge(fmt.Sprintf("Partitions[%d]", i), p.Partitions[i].validate())
-	}
+	faults.Merge("", p.validatePartitions())
 	for i, name := range p.Targets.AvailabilityZones {
 		requireZone(fmt.Sprintf("Targets.AvailabilityZones[%d]", i), name)
 	}
@@ -232,13 +230,16 @@
 	return faults
 }
 
-// validate returns all errors of the partition.
-func (p *Partition) validate() (faults fault.List) {
-	if p.To <= p.From {
-		faults.Add("To", "must be after From")
-	}
-	if !(p.Fraction > 0) {
-		faults.Add("Fraction", "must be positive")
+// validatePartitions returns all errors of the partitions.
+func (p *Pattern) validatePartitions() (faults fault.List) {
+	for i, partition := range p.Partitions {
+		path := fmt.Sprintf("Partitions[%d]", i)
+		if partition.To <= partition.From {
+			faults.Add(path+".To", "must be after From")
+		}
+		if !(partition.Fraction > 0) {
+			faults.Add(path+".Fraction", "must be positive")
+		}
 	}
 
 	return faults
