node: report to the leader only that the way to the targets is lost, and its end

Found by reading: each instance also reported at its start that it reaches targets, and, under a leader that does not know the call, once a second with a log line.

A test in control guards the list of such instances: with all others, the leader among them, and after the leader was lost.

--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -15,7 +15,7 @@
 
 	StoreRestored = declare(1021, "StoreRestored", Warning, "The store has come back from an older copy; what the instance had stored is checked and written again.")
 
-	NoticeFailed = declare(1017, "NoticeFailed", Warning, "A notice from the leader could not be delivered to an instance.")
+	NoticeFailed = declare(1017, "NoticeFailed", Warning, "A notice from the leader could not be delivered to an instance, or a report of this instance to the leader.")
 
 	LinesDropped = declare(1012, "LinesDropped", Warning, "Log lines were dropped because of their rate or a slow output; Lines is their number.")
 
--- a/internal/tier/node/reachability.go
+++ b/internal/tier/node/reachability.go
@@ -19,17 +19,21 @@
 	}
 }
 
-// reportReachability tells the leader whether this instance reaches the targets: at each change, and again while it does not or while the
-// last report has failed, until ctx is done.
+// reportReachability tells the leader that this instance has no way to the targets, again as long as that lasts, and the end of it, until ctx
+// is done.
 func (n *Node) reportReachability(ctx context.Context) error {
+	reported := false
 	for {
 		unreachable := n.targetPool.Reachability() != reachability.Reachable
-		var again <-chan time.Time
-		err := n.members.ReportReachability(ctx, unreachable, n.peerClient.ReportReachability)
-		if err != nil {
-			n.log.Log(event.NoticeFailed, "Instance", "leader", "Error", err)
+		if unreachable || reported {
+			if err := n.members.ReportReachability(ctx, unreachable, n.peerClient.ReportReachability); err != nil {
+				n.log.Log(event.NoticeFailed, "Instance", "leader", "Error", err)
+			} else {
+				reported = unreachable
+			}
 		}
-		if unreachable || err != nil {
+		var again <-chan time.Time
+		if unreachable || reported {
 			again = n.timers.After(reachabilityInterval)
 		}
 		select {
