--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -28,8 +28,7 @@
 	// they are transferred, which takes a seventh of the bytes.
 	zonePartCost   = 60 * time.Microsecond
 	regionPartCost = 400 * time.Microsecond
-	// unreachableCost exceeds the cost of all instances that reach the targets. An instance that does not tries others of which that is said
-	// after those, because it may be out of date.
+	// unreachableCost is added to the cost of an instance without a way to the targets, so that any other one is chosen before it.
 	unreachableCost = 10 * time.Second
 	// gathererFraction is the smallest processor share with which an instance gathers for others, relative to the largest in the
 	// fleet.
@@ -81,6 +80,7 @@
 	best := Verdict{Index: -1, Cost: own.gatherCost(q, place)}
 	best.OwnCost = best.Cost
 	if own.Unreachable {
+		// A candidate that counts as unreachable as well may have its way back.
 		best.Cost += unreachableCost
 	}
 	for i := range candidates {
--- a/internal/decision/reachability/reachability.go
+++ b/internal/decision/reachability/reachability.go
@@ -41,7 +41,7 @@
 	// confirmingProbes and returningProbes are the numbers of targets that are probed to confirm the suspicion, and to end it.
 	confirmingProbes = 3
 	returningProbes  = 2
-	// minimumTargets is the number of targets below which a partition cannot be told from failing targets.
+	// minimumTargets is the number of targets below which a partition cannot be told from targets that fail.
 	minimumTargets = 2
 	// relapseTime is the time within which a second loss of the way makes the next return take one more round of probes, up to maxRelapses.
 	relapseTime = 5 * time.Second
@@ -80,8 +80,6 @@
 // Monitor holds the signs of the targets. The zero value is that of an instance that reaches them.
 type Monitor struct {
 	state State
-	// since is when the state was entered.
-	since time.Time
 	// heardAt is when a target last gave any sign, and openedAt when a connection was last opened.
 	heardAt, openedAt time.Time
 	// failed are the targets that have failed since a connection was last opened.
@@ -115,9 +113,6 @@
 // Suspected reports whether probes may be due.
 func (m *Monitor) Suspected() bool { return m.state != Reachable || m.checking }
 
-// Since returns when the state was entered.
-func (m *Monitor) Since() time.Time { return m.since }
-
 // HeardAt returns when a target last gave any sign.
 func (m *Monitor) HeardAt() time.Time { return m.heardAt }
 
@@ -131,7 +126,7 @@
 func (m *Monitor) Heard(now time.Time) {
 	m.heardAt, m.broken = now, false
 	if m.state == Unreachable {
-		m.enter(NoNewConnections, now)
+		m.enter(NoNewConnections)
 	}
 }
 
@@ -173,7 +168,7 @@
 	}
 	m.checking, m.broken = true, true
 	if m.state == NoNewConnections {
-		m.enter(Unreachable, now)
+		m.enter(Unreachable)
 	}
 }
 
@@ -209,7 +204,7 @@
 	switch {
 	case m.state != Reachable && r.Opened > 0:
 		if m.goodRounds++; m.goodRounds > m.relapses {
-			m.enter(Reachable, now)
+			m.enter(Reachable)
 			m.returnedAt = now
 		}
 	case m.state != Reachable:
@@ -235,14 +230,14 @@
 		m.relapses = 0
 	}
 	if open {
-		m.enter(Unreachable, now)
+		m.enter(Unreachable)
 	} else {
-		m.enter(NoNewConnections, now)
+		m.enter(NoNewConnections)
 	}
 }
 
-func (m *Monitor) enter(s State, now time.Time) {
-	m.state, m.since = s, now
+func (m *Monitor) enter(s State) {
+	m.state = s
 	if s == Reachable {
 		clear(m.failed)
 		m.checking, m.broken = false, false
--- a/internal/tier/dispatch/active_query.go
+++ b/internal/tier/dispatch/active_query.go
@@ -248,7 +248,7 @@
 func (q *activeQuery) retry(r *attemptResult, now time.Time) {
 	s := &q.subrequests[r.index]
 	if !r.result.Sent && q.forwarded && q.isUnreachable() {
-		// A peer can send it.
+		// A peer can send it instead of this instance.
 		q.markFailed(s)
 
 		return
--- a/internal/tier/handover/handover.go
+++ b/internal/tier/handover/handover.go
@@ -5,6 +5,8 @@
 // it is not selected again for a while, the query is sent to the next peer, and finally this instance gathers it:
 //
 //	answer := h.Gather(ctx, query)
+//
+// While this instance has no way to the targets, peers gather all its queries, and forward those for one target.
 package handover
 
 import (
--- a/internal/tier/target/reachability.go
+++ b/internal/tier/target/reachability.go
@@ -46,7 +46,7 @@
 	return &reach{unreachable: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
-// OnReachability sets the function that is called when it has changed what this instance can reach.
+// OnReachability sets the function that is called when the value of Reachability has changed.
 func OnReachability(changed func(reachability.State)) Option {
 	return func(p *Pool) { p.onReachability = changed }
 }
@@ -92,7 +92,7 @@
 	p.onReachability(after)
 }
 
-// forgetFailures makes all targets count as well, because the failures were those of the way.
+// forgetFailures forgets the failures of all targets, because they were those of the way.
 func (p *Pool) forgetFailures() {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
@@ -103,8 +103,8 @@
 	}
 }
 
-// vouches waits until another target than l has accepted a connection after a time, or until a check of the way to all targets has ended. It
-// reports whether this instance then had a way, so that a refused connection says that the process of l has ended.
+// vouches reports whether another target than l has accepted a connection after a time, or does when it is probed. A connection that l refuses
+// then says that its process has ended, and not that this instance has no way to any target.
 func (l *Link) vouches(since time.Time) bool {
 	p := l.pool
 	if p.Reachability() != reachability.Reachable {
