--- a/internal/tier/peer/fuzz_test.go
+++ b/internal/tier/peer/fuzz_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -33,6 +34,11 @@
 		&RequestTokensRequest{Account: "acme", Wanted: 3},
 		&RequestTokensResponse{Tokens: 3, Limited: true, Again: time.Second},
 		&NotifyLimitedRequest{Limited: []string{"acme"}},
+		&ForwardRequest{RequestID: "r", Route: "f", Version: 7, Method: "GET", Head: gather.Head, Left: time.Second, Tried: []string{"t"}},
+		&ForwardBody{Body: []byte("body")},
+		&ForwardAnswer{Status: "Answered", Response: &ForwardedResponse{Target: "t", Status: 200, Header: http.Header{"A": {"b"}}, Size: 3}},
+		&ResponseChunk{Data: []byte("abc")},
+		&ReachabilityRequest{Name: "a", Unreachable: true},
 	} {
 		data, err := cbor.Marshal(message)
 		if err != nil {
@@ -54,6 +60,23 @@
 		if (encoding{}).Unmarshal(data, &answer) == nil && answer.Missing < 0 {
 			t.Fatalf("accepted answer %+v", answer)
 		}
+		var forward ForwardRequest
+		if (encoding{}).Unmarshal(data, &forward) == nil && (forward.Left <= 0 || len(forward.Tried) > maxTried || len(forward.Regions) > maxRegions) {
+			t.Fatalf("accepted request %+v", forward)
+		}
+		var forwarded ForwardAnswer
+		if (encoding{}).Unmarshal(data, &forwarded) == nil && forwarded.Response != nil &&
+			(forwarded.Response.Status < 200 || forwarded.Response.Status > 599 || forwarded.Response.Size < 0) {
+			t.Fatalf("accepted answer %+v", forwarded)
+		}
+		var chunk ResponseChunk
+		if (encoding{}).Unmarshal(data, &chunk) == nil && len(chunk.Data) == 0 {
+			t.Fatal("accepted an empty chunk")
+		}
+		var reachability ReachabilityRequest
+		if (encoding{}).Unmarshal(data, &reachability) == nil && reachability.Name == "" {
+			t.Fatal("accepted a report without a name")
+		}
 		var usage ReportUsageRequest
 		if (encoding{}).Unmarshal(data, &usage) == nil && (len(usage.Usage) > maxUsage || usage.Bucket < 0 || usage.Bucket >= quota.Buckets) {
 			t.Fatalf("accepted report %+v", usage)
