--- a/internal/tier/handover/unreachable_test.go
+++ b/internal/tier/handover/unreachable_test.go
@@ -122,7 +122,7 @@
 		Expect(s.own).To(BeEmpty())
 	})
 
-	DescribeTable("passes over peers that have none either, before they were listed as such or after",
+	DescribeTable("passes over peers that have no way to the targets either",
 		func(listed bool) {
 			cutOff := startForwarder(peer.Unreachable, response())
 			var peers []control.Instance
@@ -142,8 +142,8 @@
 				Expect(cutOff.got).To(BeEmpty())
 			}
 		},
-		Entry("declined", false),
-		Entry("listed by the leader", true),
+		Entry("because they decline", false),
+		Entry("because the leader lists them", true),
 	)
 
 	It("refuses a query at once, as one that has not run, if no instance has a way", func() {
@@ -186,7 +186,7 @@
 		Expect(err).To(MatchError(peer.ErrLost))
 	})
 
-	It("asks peers that do not know the call only once, and then another one", func() {
+	It("passes over peers of a version that does not know the call", func() {
 		old := instance("old", "Kochi", 0.8, startForwarder("", response(), peer.OnReachability(func(string, bool) {})).address)
 		s := newStranded(always(reachability.Unreachable), unreached, old,
 			instance("new", "Vitoria", 0.1, startForwarder("", response()).address))
