reachability: repeated failures of one target raise the suspicion, too

Cause: the suspicion needed two different targets.

Change: two failures in a row do, of one target at most once a second, so that a target that has ended does not cause probes all the time.

--- a/internal/decision/reachability/reachability.go
+++ b/internal/decision/reachability/reachability.go
@@ -6,7 +6,7 @@
 // and has lost its way if none of them can be opened:
 //
 //	m.Failed("a", reachability.Refused, began, now)
-//	m.Failed("b", reachability.Refused, began, now) // the second target in a row
+//	m.Failed("b", reachability.Refused, began, now) // the second failure in a row
 //	n, _ := m.Probes(now, len(targets))              // 3
 //	m.Probed(reachability.Round{Failed: 3}, now)
 //	m.State()                                        // NoNewConnections
@@ -36,6 +36,10 @@
 	ageStep = 100 * time.Millisecond
 	// suspectedTargets is the number of different targets that must fail, without a connection to any being opened, to raise the suspicion.
 	suspectedTargets = 2
+	// repeatedFailures is the number of failures of one target alone that raise it, at most once in repeatedInterval: the requests of an
+	// instance may all be for one target.
+	repeatedFailures = 2
+	repeatedInterval = time.Second
 	// failureLifetime is the time for which the failure of a target counts.
 	failureLifetime = 3 * time.Second
 	// confirmingProbes and returningProbes are the numbers of targets that are probed to confirm the suspicion, and to end it.
@@ -84,6 +88,9 @@
 	heardAt, openedAt time.Time
 	// failed are the targets that have failed since a connection was last opened.
 	failed map[string]time.Time
+	// failures is the number of their failures, and passedAt when a check last found that there is a way.
+	failures int
+	passedAt time.Time
 	// broken is set if open connections were lost, or are silent, since a target was last heard.
 	broken bool
 	// checking is set while a suspicion is to be confirmed, and probing while probes are under way.
@@ -135,11 +142,16 @@
 	m.Heard(now)
 	m.openedAt = now
 	if m.state == Reachable {
-		clear(m.failed)
-		m.checking = false
+		m.pass(now)
 	}
 }
 
+// pass ends a suspicion, because there is a way.
+func (m *Monitor) pass(now time.Time) {
+	clear(m.failed)
+	m.failures, m.refusedRounds, m.checking, m.passedAt = 0, 0, false, now
+}
+
 // Failed records that a connection to a target has failed that was opened, or tried, at the time began.
 func (m *Monitor) Failed(target string, cause Cause, began, now time.Time) {
 	if cause == TimedOut && m.heardAt.After(began) {
@@ -155,8 +167,9 @@
 		}
 	}
 	m.failed[target] = now
+	m.failures++
 	m.broken = m.broken || cause == Lost
-	if len(m.failed) >= suspectedTargets {
+	if len(m.failed) >= suspectedTargets || m.failures >= repeatedFailures && now.Sub(m.passedAt) >= repeatedInterval {
 		m.checking = true
 	}
 }
@@ -210,8 +223,7 @@
 	case m.state != Reachable:
 		m.goodRounds = 0
 	case r.Opened > 0 || r.Refused+timedOut < minimumTargets:
-		m.checking, m.refusedRounds = false, 0
-		clear(m.failed)
+		m.pass(now)
 	case timedOut == 0 && now.Sub(m.heardAt) < Silence && m.refusedRounds+1 < confirmingRounds:
 		m.refusedRounds++
 	default:
@@ -240,7 +252,7 @@
 	m.state = s
 	if s == Reachable {
 		clear(m.failed)
-		m.checking, m.broken = false, false
+		m.failures, m.checking, m.broken = 0, false, false
 	}
 }
 
--- a/internal/decision/reachability/reachability_test.go
+++ b/internal/decision/reachability/reachability_test.go
@@ -303,6 +303,33 @@
 	}
 }
 
+// Guards against an instance whose requests are all for one target, and which never finds out that it reaches no other either (RECOVER).
+func TestRepeatedFailuresOfOneTargetRaiseTheSuspicionNowAndThen(t *testing.T) {
+	var m reachability.Monitor
+	checks := 0
+	for ms := 0; ms < 5000; ms += 20 {
+		now := at(time.Duration(ms) * time.Millisecond)
+		m.Failed("a", reachability.Refused, now, now)
+		if n, _ := m.Probes(now, 5); n > 0 {
+			checks++
+			m.Opened(now)
+			m.Probed(reachability.Round{Began: now, Opened: n}, now)
+		}
+	}
+	if checks < 4 || checks > 6 {
+		t.Errorf("%d checks in 5 s", checks)
+	}
+	now := at(6 * time.Second)
+	for range 2 {
+		m.Failed("a", reachability.Refused, now, now)
+	}
+	n, _ := m.Probes(now, 5)
+	m.Probed(reachability.Round{Began: now, Refused: n}, now)
+	if m.State() == reachability.Reachable {
+		t.Error("the way counts as reachable although no target accepts a connection")
+	}
+}
+
 // Guards against a partition that is assumed where the only target has failed.
 func TestASingleTargetShowsNothingOfTheWay(t *testing.T) {
 	var m reachability.Monitor
--- a/internal/tier/node/node_test.go
+++ b/internal/tier/node/node_test.go
@@ -76,16 +76,23 @@
 func start(table *route.Table, backends ...*backend) *instance {
 	free, err := loopback.FreeAddresses(4)
 	Expect(err).NotTo(HaveOccurred())
+	targets := make([]*directory.Target, 0, len(backends))
+	for _, b := range backends {
+		targets = append(targets, b.target)
+	}
+
+	return startAs("a", free, table, memory.New(timer.New()), targets)
+}
+
+// startAs runs a node with a name, four free addresses and a store, as start does.
+func startAs(name string, free []netip.AddrPort, table *route.Table, store *memory.Store, targets []*directory.Target) *instance {
+	GinkgoHelper()
 	i := &instance{ended: make(chan error, 1), settings: node.Settings{
-		Name: "a", AvailabilityZone: "Kochi", Region: "Kerala", Regions: map[string]string{"Kochi": "Kerala"},
+		Name: name, AvailabilityZone: "Kochi", Region: "Kerala", Regions: map[string]string{"Kochi": "Kerala"},
 		Callers: free[0], Readiness: free[1], Operator: free[2], Peer: free[3],
 		Memory: 256 << 20, StopTimeout: 2 * time.Second,
 		RetryRatio: 0.2, RetryAllowance: 50, RetryWindow: 10 * time.Second,
 	}}
-	var targets []*directory.Target
-	for _, b := range backends {
-		targets = append(targets, b.target)
-	}
 	n, err := node.New(i.settings, node.Adapters{
 		Targets: platform.TargetCodec(),
 		Callers: platform.CallerCodec(),
@@ -102,7 +109,7 @@
 		TargetSource: control.TargetSource{List: func(context.Context) (control.Listed, error) {
 			return control.Listed{Targets: targets}, nil
 		}},
-		KeyValueStore: memory.New(timer.New()).KeyValueStore(),
+		KeyValueStore: store.KeyValueStore(),
 	}, timer.New())
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
