docs, comments: say connectivity to the targets

The usual term of the field in the new comments, events, titles of tests and pages. No change of behaviour but for the texts of events 4025, 5017 and 5018.

--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -28,7 +28,7 @@
 	// they are transferred, which takes a seventh of the bytes.
 	zonePartCost   = 60 * time.Microsecond
 	regionPartCost = 400 * time.Microsecond
-	// unreachableCost is added to the cost of an instance without a way to the targets, so that any other one is chosen before it.
+	// unreachableCost is added to the cost of an instance without connectivity to the targets, so that any other one is chosen before it.
 	unreachableCost = 10 * time.Second
 	// gathererFraction is the smallest processor share with which an instance gathers for others, relative to the largest in the
 	// fleet.
@@ -44,7 +44,7 @@
 	// Active is the number of queries that the instance is gathering: the number in its last report, plus the queries that were
 	// handed over to it since.
 	Active int
-	// Unreachable is set if the instance has lost its way to the targets, as far as is known.
+	// Unreachable is set if the instance has lost connectivity to the targets, as far as is known.
 	Unreachable bool
 	// LocalShards and RegionShards count the shards with a replica in the instance's availability zone and in its region.
 	LocalShards  int
@@ -80,7 +80,7 @@
 	best := Verdict{Index: -1, Cost: own.gatherCost(q, place)}
 	best.OwnCost = best.Cost
 	if own.Unreachable {
-		// A candidate that counts as unreachable as well may have its way back.
+		// A candidate that counts as unreachable as well may have regained connectivity.
 		best.Cost += unreachableCost
 	}
 	for i := range candidates {
--- a/internal/decision/reachability/reachability.go
+++ b/internal/decision/reachability/reachability.go
@@ -1,17 +1,17 @@
-// Package reachability decides whether an instance has lost its way to all targets.
+// Package reachability decides whether an instance has lost connectivity to all targets.
 //
 // A partition between an instance and the targets looks like the failure of each target by itself: connections hang, are reset, or live on
 // while new ones are refused. Targets also crash, pause and hang, many at a time, and must not be mistaken for a partition. So failures and
 // silence only raise the suspicion. The instance then opens connections to several other targets, those first that it has heard of last,
-// and has lost its way if none of them can be opened:
+// and has lost connectivity if none of them can be opened:
 //
 //	m.Failed("a", reachability.Refused, began, now)
 //	m.Failed("b", reachability.Refused, began, now) // the second failure in a row
 //	n, _ := m.Probes(now, len(targets))              // 3
-//	m.Probed(reachability.Round{Failed: 3}, now)
+//	m.Probed(reachability.Round{Refused: 3}, now)
 //	m.State()                                        // NoNewConnections
 //
-// While it has no way, it probes two targets at a time until one accepts a connection again. A Monitor is not safe for concurrent use.
+// While connectivity is lost, it probes two targets at a time until one accepts a connection again. A Monitor is not safe for concurrent use.
 package reachability
 
 import (
@@ -21,7 +21,7 @@
 )
 
 const (
-	// Silence is the time without any sign of a target, while one is overdue with its response, after which the way is checked. It exceeds the
+	// Silence is the time without any sign of a target, while one is overdue with its response, after which connectivity is checked. It exceeds the
 	// round trip between regions several times.
 	Silence = 150 * time.Millisecond
 	// ProbeTimeout is the time limit of a probe. A target accepts a connection from another region in 30 ms.
@@ -47,7 +47,7 @@
 	returningProbes  = 2
 	// minimumTargets is the number of targets below which a partition cannot be told from targets that fail.
 	minimumTargets = 2
-	// relapseTime is the time within which a second loss of the way makes the next return take one more round of probes, up to maxRelapses.
+	// relapseTime is the time within which a second loss of connectivity makes the next return take one more round of probes, up to maxRelapses.
 	relapseTime = 5 * time.Second
 	maxRelapses = 3
 )
@@ -88,7 +88,7 @@
 	heardAt, openedAt time.Time
 	// failed are the targets that have failed since a connection was last opened.
 	failed map[string]time.Time
-	// failures is the number of their failures, and passedAt when a check last found that there is a way.
+	// failures is the number of their failures, and passedAt when a check last found connectivity.
 	failures int
 	passedAt time.Time
 	// broken is set if open connections were lost, or are silent, since a target was last heard.
@@ -98,14 +98,14 @@
 	probedAt          time.Time
 	// refusedRounds is the number of rounds in a row in which all targets refused a connection and others were heard.
 	refusedRounds int
-	// relapses is the number of recent returns after which the way was lost again, returnedAt the last one, and goodRounds the number of
+	// relapses is the number of recent returns after which connectivity was lost again, returnedAt the last one, and goodRounds the number of
 	// rounds in a row in which a target was reached.
 	relapses   int
 	returnedAt time.Time
 	goodRounds int
 }
 
-// Round is the result of the probes of a round. A probe that was given up, for a reason that says nothing about the way, counts as neither.
+// Round is the result of the probes of a round. A probe that was given up, for a reason that says nothing about connectivity, counts as neither.
 type Round struct {
 	// Began is when the probes were sent.
 	Began    time.Time
@@ -146,7 +146,7 @@
 	}
 }
 
-// pass ends a suspicion, because there is a way.
+// pass ends a suspicion, because there is connectivity.
 func (m *Monitor) pass(now time.Time) {
 	clear(m.failed)
 	m.failures, m.refusedRounds, m.checking, m.passedAt = 0, 0, false, now
@@ -155,7 +155,7 @@
 // Failed records that a connection to a target has failed that was opened, or tried, at the time began.
 func (m *Monitor) Failed(target string, cause Cause, began, now time.Time) {
 	if cause == TimedOut && m.heardAt.After(began) {
-		// Other targets are heard, so the packets of this one are not lost on the way that all share.
+		// Other targets are heard, so the packets of this one are not lost on the path that all share.
 		return
 	}
 	if m.failed == nil {
@@ -233,7 +233,7 @@
 	return m.state != before
 }
 
-// lose enters the state in which there is no way.
+// lose enters the state of lost connectivity.
 func (m *Monitor) lose(open bool, now time.Time) {
 	m.goodRounds, m.refusedRounds = 0, 0
 	if !m.returnedAt.IsZero() && now.Sub(m.returnedAt) < relapseTime {
--- a/internal/decision/reachability/reachability_test.go
+++ b/internal/decision/reachability/reachability_test.go
@@ -23,11 +23,11 @@
 	refuses // refuses new connections, while open ones live on
 )
 
-// outage is a time in which targets, or the way to all of them, do not work.
+// outage is a time in which targets, or the path to all of them, do not work.
 type outage struct {
 	from, to time.Duration
 	how      behaviour
-	// share is the share of the targets, 0 for the way to all.
+	// share is the share of the targets, 0 for the path to all.
 	share float64
 }
 
@@ -194,7 +194,7 @@
 	}
 }
 
-// unreachableFor returns the time in which the instance had no way, as far as it knew, between two times.
+// unreachableFor returns the time in which the instance had no connectivity, as far as it knew, between two times.
 func (w *world) unreachableFor(from, to time.Duration) (sum time.Duration) {
 	for i, s := range w.states {
 		end := w.now
@@ -326,7 +326,7 @@
 	n, _ := m.Probes(now, 5)
 	m.Probed(reachability.Round{Began: now, Refused: n}, now)
 	if m.State() == reachability.Reachable {
-		t.Error("the way counts as reachable although no target accepts a connection")
+		t.Error("the targets count as reachable although no target accepts a connection")
 	}
 }
 
--- a/internal/emulator/replay/way.go
+++ b/internal/emulator/replay/connectivity.go
@@ -12,8 +12,8 @@
 // silenceCheckInterval is the interval at which an instance with requests in flight checks whether they are overdue.
 const silenceCheckInterval = 50 * time.Millisecond
 
-// way is what an instance knows of its way to the replicas.
-type way struct {
+// connectivity is what an instance knows of its path to the replicas.
+type connectivity struct {
 	monitor  reachability.Monitor
 	watching bool // a check for overdue requests is scheduled
 	probing  bool // a check for due probes is scheduled
@@ -31,15 +31,15 @@
 	return nil
 }
 
-// isUnreachable reports whether the instance knows that it has no way to the replicas.
+// isUnreachable reports whether the instance knows that it has no connectivity to the replicas.
 func (s *simulation) isUnreachable(i *instance) bool {
-	return !s.policy.Off.Has(Reachability) && i.way.monitor.State() != reachability.Reachable
+	return !s.policy.Off.Has(Reachability) && i.connectivity.monitor.State() != reachability.Reachable
 }
 
 // lose plays a request of an instance that is cut off. If it is refused, ended is called at once, otherwise never.
 func (s *simulation) lose(i *instance, r *replica, p *pattern.Partition, ended func()) {
 	if p.Refuse {
-		i.way.monitor.Failed(r.name(), reachability.Refused, s.decisionTime(), s.decisionTime())
+		i.connectivity.monitor.Failed(r.name(), reachability.Refused, s.decisionTime(), s.decisionTime())
 		s.probe(i)
 		s.schedule(0, ended)
 	}
@@ -47,12 +47,12 @@
 
 // watchSilence checks for as long as the instance has requests in flight whether they are overdue.
 func (s *simulation) watchSilence(i *instance) {
-	if i.way.watching {
+	if i.connectivity.watching {
 		return
 	}
-	i.way.watching = true
+	i.connectivity.watching = true
 	s.schedule(silenceCheckInterval, func() {
-		i.way.watching = false
+		i.connectivity.watching = false
 		inFlight, overdue := false, false
 		for _, state := range i.replicas {
 			if len(state.inFlight) > 0 {
@@ -61,7 +61,7 @@
 			}
 		}
 		if overdue {
-			i.way.monitor.Silent(s.decisionTime())
+			i.connectivity.monitor.Silent(s.decisionTime())
 			s.probe(i)
 		}
 		if inFlight && s.now < s.pattern.Length.Std() {
@@ -84,12 +84,12 @@
 		}
 	}
 	now := s.decisionTime()
-	n, wait := i.way.monitor.Probes(now, len(targets))
+	n, wait := i.connectivity.monitor.Probes(now, len(targets))
 	if n == 0 {
-		if wait > 0 && !i.way.probing && s.now < s.pattern.Length.Std() {
-			i.way.probing = true
+		if wait > 0 && !i.connectivity.probing && s.now < s.pattern.Length.Std() {
+			i.connectivity.probing = true
 			s.schedule(wait, func() {
-				i.way.probing = false
+				i.connectivity.probing = false
 				s.probe(i)
 			})
 		}
@@ -107,9 +107,9 @@
 	}
 	s.schedule(took, func() {
 		if round.Opened > 0 {
-			i.way.monitor.Opened(s.decisionTime())
+			i.connectivity.monitor.Opened(s.decisionTime())
 		}
-		i.way.monitor.Probed(round, s.decisionTime())
+		i.connectivity.monitor.Probed(round, s.decisionTime())
 		s.probe(i)
 	})
 }
--- a/internal/emulator/replay/query.go
+++ b/internal/emulator/replay/query.go
@@ -96,7 +96,7 @@
 	candidates := make([]placement.Candidate, 0, len(s.instances))
 	for _, i := range s.instances {
 		c := i.candidate()
-		// An instance without a way to the replicas declines.
+		// An instance without connectivity to the replicas declines.
 		c.Excluded = i == q.origin || s.isUnreachable(i)
 		candidates = append(candidates, c)
 	}
@@ -192,7 +192,7 @@
 			}
 			s.schedule(s.transfer(g, r.zone, bytes), func() {
 				g.receive(s, bytes, partProcessorTime, func() {
-					g.way.monitor.Heard(s.decisionTime())
+					g.connectivity.monitor.Heard(s.decisionTime())
 					state.requestEnded(sent, s.now, response.ok)
 					state.reportedLoad, state.reportedAt = response.load, s.now
 					state.hear(response, s.now)
--- a/internal/emulator/replay/world.go
+++ b/internal/emulator/replay/world.go
@@ -25,10 +25,10 @@
 	replicas      map[*replica]*replicaState
 	budgets       []*budget.Window // by shard
 	responseTimes hedging.Tracker  // 90th percentile over all successful requests to targets
-	// rank is the position among the instances of its group, as a fraction of their number. way is what the instance knows of its way to the
+	// rank is the position among the instances of its group, as a fraction of their number. connectivity is what the instance knows of its path to the
 	// replicas.
-	rank float64
-	way  way
+	rank         float64
+	connectivity connectivity
 }
 
 // replicaState is what an instance knows about a replica.
--- a/internal/proof/soak/proxy.go
+++ b/internal/proof/soak/proxy.go
@@ -35,7 +35,7 @@
 	mu          sync.Mutex
 	listener    net.Listener // nil while connections are refused
 	ended       bool         // the process behind the proxy has ended
-	cut         bool         // new connections are refused, because there is no way to the proxy
+	cut         bool         // new connections are refused, because there is no path to the proxy
 	target      string
 	mode        Mode
 	modeChanged chan struct{}
--- a/internal/run/event/tier.go
+++ b/internal/run/event/tier.go
@@ -39,7 +39,7 @@
 	TargetCold     = declare(4033, "TargetCold", Info, "A target has become cold again without a restart; all instances together send it at most PerSecond requests a second for the time in For.")
 	ZoneReturned   = declare(4031, "ZoneReturned", Info, "The evacuation of an availability zone has ended; where cold targets are limited, its targets count as cold for some time.")
 
-	TargetsUnreachable = declare(4025, "TargetsUnreachable", Warning, "This instance has lost its way to all targets: none accepts a connection (NoNewConnections), or none answers on any (Unreachable). Failures is the number of targets that have failed since one accepted a connection, and SinceHeard the time since any has answered.")
+	TargetsUnreachable = declare(4025, "TargetsUnreachable", Warning, "This instance has lost connectivity to all targets: none accepts a connection (NoNewConnections), or none answers on any (Unreachable). Failures is the number of targets that have failed since one accepted a connection, and SinceHeard the time since any has answered.")
 	TargetsReachable   = declare(4026, "TargetsReachable", Info, "This instance reaches targets again.")
 
 	TargetAway    = declare(4023, "TargetAway", Warning, "A target has refused a request and wants none of this instance for the time in For.")
@@ -51,8 +51,8 @@
 
 	GathererFailed   = declare(5014, "GathererFailed", Warning, "A peer failed to gather a query; another instance gathers it.")
 	RequestGathered  = declare(5015, "RequestGathered", Info, "This instance gathered a query, or some of its shards, for a peer.")
-	RequestForwarded = declare(5017, "RequestForwarded", Info, "This instance sent a request to a target for a peer that has no way to the targets.")
-	ForwarderFailed  = declare(5018, "ForwarderFailed", Warning, "A peer failed to send a request to a target for this instance, which has no way to the targets.")
+	RequestForwarded = declare(5017, "RequestForwarded", Info, "This instance sent a request to a target for a peer that has no connectivity to the targets.")
+	ForwarderFailed  = declare(5018, "ForwarderFailed", Warning, "A peer failed to send a request to a target for this instance, which has no connectivity to the targets.")
 
 	RequestAnswered = declare(5010, "RequestAnswered", Info, "A request was answered; the line shows what determined its result.")
 	RequestRefused  = declare(5011, "RequestRefused", Warning, "A request was refused and was not executed.")
--- a/internal/tier/control/unreachable.go
+++ b/internal/tier/control/unreachable.go
@@ -5,7 +5,7 @@
 	"net/netip"
 )
 
-// ReportReachability tells the leader, by send if that is another instance, whether this instance has lost its way to the targets. It does
+// ReportReachability tells the leader, by send if that is another instance, whether this instance has lost connectivity to the targets. It does
 // nothing if there is no leader that passes it on.
 func (f *Fleet) ReportReachability(
 	ctx context.Context, unreachable bool, send func(ctx context.Context, leader netip.AddrPort, name string, unreachable bool) error,
@@ -25,7 +25,7 @@
 	}
 }
 
-// SetUnreachable records whether an instance has lost its way to the targets, and passes it on. A new session of the instance ends that.
+// SetUnreachable records whether an instance has lost connectivity to the targets, and passes it on. A new session of the instance ends that.
 func (f *Feed) SetUnreachable(name string, unreachable bool) {
 	f.mu.Lock()
 	p := f.presences[name]
--- a/internal/tier/control/unreachable_test.go
+++ b/internal/tier/control/unreachable_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// reportReachability has an instance report to its leader whether it has lost its way to the targets.
+// reportReachability has an instance report to its leader whether it has lost connectivity to the targets.
 func (f *followingFleet) reportReachability(i *followingInstance, unreachable bool) {
 	GinkgoHelper()
 	Expect(i.fleet.ReportReachability(context.Background(), unreachable, func(
@@ -22,7 +22,7 @@
 	})).To(Succeed())
 }
 
-// listedUnreachable returns the instances that an instance knows to have lost their way to the targets.
+// listedUnreachable returns the instances that an instance knows to have lost connectivity to the targets.
 func listedUnreachable(i *followingInstance) (names []string) {
 	for _, listed := range i.fleet.View().Instances {
 		if listed.Unreachable {
@@ -33,7 +33,7 @@
 	return names
 }
 
-var _ = Describe("Instances that have lost their way to the targets", func() {
+var _ = Describe("Instances that have lost connectivity to the targets", func() {
 	It("are known to all others, the leader too, so that no query is handed over to them, also after the leader was lost (RECOVER)", func() {
 		f := newFollowingFleet(names(6)...)
 		leader := f.settle()
--- a/internal/tier/control/value.go
+++ b/internal/tier/control/value.go
@@ -22,7 +22,7 @@
 	Processor float64
 	// LinkBits is the bandwidth of the machine's network link in bits a second.
 	LinkBits float64
-	// Unreachable is set by the leader while the instance reports that it has no way to the targets.
+	// Unreachable is set by the leader while the instance reports that it has no connectivity to the targets.
 	Unreachable bool `json:",omitempty"`
 }
 
--- a/internal/tier/dispatch/dispatch.go
+++ b/internal/tier/dispatch/dispatch.go
@@ -45,7 +45,7 @@
 	Abandoned Status = "Abandoned"
 )
 
-// ReasonUnreachable is the reason of a query that was not answered because this instance has lost its way to the targets.
+// ReasonUnreachable is the reason of a query that was not answered because this instance has lost connectivity to the targets.
 const ReasonUnreachable = "TargetsUnreachable"
 
 // Query is a caller's request.
--- a/internal/tier/dispatch/unreachable.go
+++ b/internal/tier/dispatch/unreachable.go
@@ -7,7 +7,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/tier/target"
 )
 
-// isUnreachable reports whether this instance has lost its way to the targets, so that new connections fail.
+// isUnreachable reports whether this instance has lost connectivity to the targets, so that new connections fail.
 func (q *activeQuery) isUnreachable() bool { return q.d.pool.Reachability() != reachability.Reachable }
 
 // refuseUnconnected ends the query if no target answers on any connection, or if none accepts one and too few shards have one with an open
--- a/internal/tier/dispatch/unreachable_test.go
+++ b/internal/tier/dispatch/unreachable_test.go
@@ -80,7 +80,7 @@
 	}
 }
 
-var _ = Describe("A query of an instance that loses its way to the targets", func() {
+var _ = Describe("A query of an instance that loses connectivity to the targets", func() {
 	It("ends at once and names the targets that may have it, instead of at its deadline (RECOVER)", func() {
 		p := newPartition(4)
 		Expect(p.dispatcher.Forward(context.Background(), p.query(true, time.Minute)).Status).To(Equal(dispatch.Answered))
--- a/internal/tier/handover/handover.go
+++ b/internal/tier/handover/handover.go
@@ -6,7 +6,7 @@
 //
 //	answer := h.Gather(ctx, query)
 //
-// While this instance has no way to the targets, peers gather all its queries, and forward those for one target.
+// While this instance has no connectivity to the targets, peers gather all its queries, and forward those for one target.
 package handover
 
 import (
@@ -31,10 +31,10 @@
 )
 
 const (
-	// maxUnreachableAttempts replaces maxPeerAttempts while this instance has no way to the targets. Most of such attempts are declined within
+	// maxUnreachableAttempts replaces maxPeerAttempts while this instance has no connectivity to the targets. Most of such attempts are declined within
 	// a round trip, because the peer has none either.
 	maxUnreachableAttempts = 8
-	// unreachableExclusion is the time for which a peer is not asked again after it has declined a query because it has no way to the targets.
+	// unreachableExclusion is the time for which a peer is not asked again after it has declined a query because it has no connectivity to the targets.
 	unreachableExclusion = time.Second
 	// maxPeerAttempts is the number of peers that a query is sent to before this instance gathers it. The objectives leave no time
 	// for a third peer.
@@ -188,7 +188,7 @@
 }
 
 // Gather gathers a query at the selected peer, or at this instance if no peer costs less or those that were tried failed. It sets
-// q.MaybeSent if a peer that failed may have sent the query to targets. While this instance has no way to the targets, it asks more peers, and
+// q.MaybeSent if a peer that failed may have sent the query to targets. While this instance has no connectivity to the targets, it asks more peers, and
 // gathers the query itself only over connections that still work.
 func (h *Handover) Gather(ctx context.Context, q *dispatch.Query) dispatch.Answer {
 	var tried []string
@@ -394,7 +394,7 @@
 
 	reply, err = h.client.Gather(callCtx, i.Peer, request, acceptTimeout, early)
 	if err == nil && isUnanswered(&reply.Answer) {
-		err = lostWay(&reply.Answer)
+		err = lostConnectivity(&reply.Answer)
 	}
 	h.observeReply(q, i, &reply, err)
 
--- a/internal/tier/handover/unreachable.go
+++ b/internal/tier/handover/unreachable.go
@@ -15,7 +15,7 @@
 )
 
 // unreachableRetry is the time after which the caller of a query that no instance could send may try again: two rounds of the probes by which
-// an instance notices that it has its way back.
+// an instance notices that it has regained connectivity.
 const unreachableRetry = 500 * time.Millisecond
 
 // WithForward sets the function that forwards a query to one target at this instance.
@@ -23,7 +23,7 @@
 	return func(h *Handover) { h.forward = forward }
 }
 
-// WithReachability sets the function that returns whether this instance has a way to the targets.
+// WithReachability sets the function that returns whether this instance has connectivity to the targets.
 func WithReachability(state func() reachability.State) Option {
 	return func(h *Handover) { h.reachability = state }
 }
@@ -46,13 +46,13 @@
 	return r.Services()
 }
 
-// isUnanswered reports whether an instance has not answered a query because it has lost its way to the targets.
+// isUnanswered reports whether an instance has not answered a query because it has lost connectivity to the targets.
 func isUnanswered(a *dispatch.Answer) bool {
 	return a.Reason == dispatch.ReasonUnreachable && (a.Status == dispatch.NotRun || a.Status == dispatch.Unknown)
 }
 
-// lostWay returns the error of a peer that has lost its way to the targets while it had a query.
-func lostWay(a *dispatch.Answer) error {
+// lostConnectivity returns the error of a peer that has lost connectivity to the targets while it had a query.
+func lostConnectivity(a *dispatch.Answer) error {
 	if a.Status == dispatch.NotRun {
 		return peer.ErrUnreachable
 	}
@@ -70,7 +70,7 @@
 	return dispatch.Answer{Status: status, Reason: dispatch.ReasonUnreachable, TurnIn: unreachableRetry}
 }
 
-// Forward sends a query to one target. While this instance has no way to the targets, a peer does. A query that may have run is sent again only
+// Forward sends a query to one target. While this instance has no connectivity to the targets, a peer does. A query that may have run is sent again only
 // if it is idempotent.
 func (h *Handover) Forward(ctx context.Context, q *dispatch.Query) dispatch.Answer {
 	if h.reachability() == reachability.Reachable {
@@ -155,7 +155,7 @@
 
 	reply, err = h.client.Forward(callCtx, i.Peer, request, acceptTimeout)
 	if err == nil && isUnanswered(&reply.Answer) {
-		err = lostWay(&reply.Answer)
+		err = lostConnectivity(&reply.Answer)
 	}
 	h.observeReply(q, i, &reply, err)
 
@@ -174,7 +174,7 @@
 	return roundTrip + sameRegionDelay, acceptTimeout
 }
 
-// observeReply takes what a reply says of the way to the peer, and of the peer's configuration and mirror.
+// observeReply takes what a reply says of the path to the peer, and of the peer's configuration and mirror.
 func (h *Handover) observeReply(q *dispatch.Query, i *control.Instance, reply *peer.Reply, err error) {
 	if reply.AcceptedAfter > 0 {
 		h.place.RoundTrips.Observe(i.AvailabilityZone, reply.AcceptedAfter)
--- a/internal/tier/handover/unreachable_test.go
+++ b/internal/tier/handover/unreachable_test.go
@@ -68,14 +68,14 @@
 	return f
 }
 
-// stranded is an instance that has lost its way to the targets.
+// stranded is an instance that has lost connectivity to the targets.
 type stranded struct {
 	handover *handover.Handover
 	// own are the queries that it has tried itself.
 	own []*dispatch.Query
 }
 
-// newStranded returns an instance whose way to the targets has a state, and whose own attempts have the given outcome.
+// newStranded returns an instance whose reachability has a state, and whose own attempts have the given outcome.
 func newStranded(state func() reachability.State, own dispatch.Answer, peers ...control.Instance) *stranded {
 	// Its time stands still, so that a peer that is slow because the machine is busy does not count as one that has not accepted a query.
 	timers := timer.New(timer.WithClock(clockwork.NewFakeClockAt(time.Now())))
@@ -113,7 +113,7 @@
 
 var unreached = dispatch.Answer{Status: dispatch.NotRun, Reason: dispatch.ReasonUnreachable}
 
-var _ = Describe("An instance without a way to the targets (RECOVER)", func() {
+var _ = Describe("An instance without connectivity to the targets (RECOVER)", func() {
 	It("hands over all queries, also where it would gather them itself", func() {
 		weak := instance("weak", "Vitoria", 0.1, startForwarder("", &dispatch.Answer{Status: dispatch.Answered, Stamps: []string{"peer"}}).address)
 		s := newStranded(always(reachability.Unreachable), unreached, weak)
@@ -122,7 +122,7 @@
 		Expect(s.own).To(BeEmpty())
 	})
 
-	DescribeTable("passes over peers that have no way to the targets either",
+	DescribeTable("passes over peers that have no connectivity to the targets either",
 		func(listed bool) {
 			cutOff := startForwarder(peer.Unreachable, response())
 			var peers []control.Instance
@@ -146,7 +146,7 @@
 		Entry("because the leader lists them", true),
 	)
 
-	It("refuses a query at once, as one that has not run, if no instance has a way", func() {
+	It("refuses a query at once, as one that has not run, if no instance has connectivity", func() {
 		cutOff := instance("cut off", "Kochi", 0.8, startForwarder(peer.Unreachable, response()).address)
 		s := newStranded(always(reachability.Unreachable), unreached, cutOff)
 		for _, q := range []*dispatch.Query{read(readRoute), read(writeRoute)} {
@@ -195,7 +195,7 @@
 	})
 })
 
-var _ = Describe("An instance that loses its way to the targets while it has a query", func() {
+var _ = Describe("An instance that loses connectivity to the targets while it has a query", func() {
 	DescribeTable("hands it over if that does no harm",
 		func(r *route.Route, own dispatch.Answer, handedOver bool) {
 			states := []reachability.State{reachability.Reachable, reachability.Unreachable}
--- a/internal/tier/node/reachability.go
+++ b/internal/tier/node/reachability.go
@@ -8,7 +8,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/run/event"
 )
 
-// reachabilityInterval is the interval at which an instance without a way to the targets reports that, because the leader may be a new one.
+// reachabilityInterval is the interval at which an instance without connectivity to the targets reports that, because the leader may be a new one.
 const reachabilityInterval = time.Second
 
 // notifyReachability is called when it has changed whether this instance reaches the targets.
@@ -19,7 +19,7 @@
 	}
 }
 
-// reportReachability tells the leader that this instance has no way to the targets, again as long as that lasts, and the end of it, until ctx
+// reportReachability tells the leader that this instance has no connectivity to the targets, again as long as that lasts, and the end of it, until ctx
 // is done.
 func (n *Node) reportReachability(ctx context.Context) error {
 	reported := false
--- a/internal/tier/peer/forward.go
+++ b/internal/tier/peer/forward.go
@@ -16,7 +16,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/world/region"
 )
 
-// rpcForward is the call by which an instance that has no way to the targets has a peer send a query to one target. The peer accepts or declines
+// rpcForward is the call by which an instance that has no connectivity to the targets has a peer send a query to one target. The peer accepts or declines
 // it, and sends nothing before the ForwardBody has arrived. So a query that the peer has not accepted has not run.
 const rpcForward = "/hickorynotch.Tier/Forward"
 
@@ -29,7 +29,7 @@
 	maxHeaderLines = 1 << 10
 )
 
-// ErrUnreachable means that the peer has lost its way to the targets.
+// ErrUnreachable means that the peer has lost connectivity to the targets.
 var ErrUnreachable = fmt.Errorf("%w, because it does not reach the targets", ErrDeclined)
 
 // errResponseMemory means that there is no memory for a response.
--- a/internal/tier/peer/reachability.go
+++ b/internal/tier/peer/reachability.go
@@ -8,10 +8,10 @@
 	"storj.io/drpc"
 )
 
-// rpcReachability is the call by which an instance tells the leader whether it has lost its way to the targets.
+// rpcReachability is the call by which an instance tells the leader whether it has lost connectivity to the targets.
 const rpcReachability = "/hickorynotch.Tier/Reachability"
 
-// ReachabilityRequest says whether an instance has lost its way to the targets.
+// ReachabilityRequest says whether an instance has lost connectivity to the targets.
 type ReachabilityRequest struct {
 	_           struct{} `cbor:",toarray"`
 	Name        string
@@ -32,12 +32,12 @@
 	_ struct{} `cbor:",toarray"`
 }
 
-// ReportReachability tells the leader at address whether the instance with the given name has lost its way to the targets.
+// ReportReachability tells the leader at address whether the instance with the given name has lost connectivity to the targets.
 func (c *Client) ReportReachability(ctx context.Context, address netip.AddrPort, name string, unreachable bool) error {
 	return c.invoke(ctx, address, rpcReachability, &ReachabilityRequest{Name: name, Unreachable: unreachable}, &ReachabilityResponse{})
 }
 
-// OnReachability sets the function that receives which instances have lost their way to the targets.
+// OnReachability sets the function that receives which instances have lost connectivity to the targets.
 func OnReachability(onReachability func(instance string, unreachable bool)) ServerOption {
 	return func(s *Server) { s.onReachability = onReachability }
 }
--- a/internal/tier/peer/server.go
+++ b/internal/tier/peer/server.go
@@ -32,7 +32,7 @@
 	LengthInHead = "LengthInHead"
 	// OutsideRegions means that the gatherer is not in one of the regions that the query allows.
 	OutsideRegions = "OutsideRegions"
-	// Unreachable means that the gatherer has lost its way to the targets.
+	// Unreachable means that the gatherer has lost connectivity to the targets.
 	Unreachable = "TargetsUnreachable"
 )
 
--- a/internal/tier/target/exchange.go
+++ b/internal/tier/target/exchange.go
@@ -235,7 +235,7 @@
 	return e.closed
 }
 
-// endConn closes a connection that cannot be reused after its exchange, and records what that says of the target and of the way to it.
+// endConn closes a connection that cannot be reused after its exchange, and records what that says of the target and of the path to it.
 func (l *Link) endConn(c *conn, call *Call, cancel *Cancel, sentAt time.Time, result *Result) {
 	if result.Status == 0 && c.reused {
 		l.closeIdleSince(sentAt)
--- a/internal/tier/target/reachability.go
+++ b/internal/tier/target/reachability.go
@@ -26,7 +26,7 @@
 	vouchingProbes = 3
 )
 
-// reach is what the pool knows of the way that all targets share.
+// reach is what the pool knows of the path that all targets share.
 type reach struct {
 	mu      sync.Mutex
 	monitor reachability.Monitor
@@ -51,7 +51,7 @@
 	return func(p *Pool) { p.onReachability = changed }
 }
 
-// Reachability returns whether this instance has a way to the targets.
+// Reachability returns whether this instance has connectivity to the targets.
 func (p *Pool) Reachability() reachability.State { return reachability.State(p.reach.state.Load()) }
 
 // Unreachable returns a channel that is closed once no target answers on any connection.
@@ -92,7 +92,7 @@
 	p.onReachability(after)
 }
 
-// forgetFailures forgets the failures of all targets, because they were those of the way.
+// forgetFailures forgets the failures of all targets, because they were those of the path.
 func (p *Pool) forgetFailures() {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
@@ -104,7 +104,7 @@
 }
 
 // vouches reports whether another target than l has accepted a connection after a time, or does when it is probed. A connection that l refuses
-// then says that its process has ended, and not that this instance has no way to any target.
+// then says that its process has ended, and not that this instance has no connectivity to any target.
 func (l *Link) vouches(since time.Time) bool {
 	p := l.pool
 	if p.Reachability() != reachability.Reachable {
@@ -235,7 +235,7 @@
 	return now.Sub(l.inFlightSince[0]) > max(reachability.Silence, overdueFactor*usual)
 }
 
-// WatchReachability probes targets, by opening connections to them, while it is in doubt whether this instance has a way to them, or while it
+// WatchReachability probes targets, by opening connections to them, while it is in doubt whether this instance has connectivity to them, or while it
 // has none, until ctx is done.
 func (p *Pool) WatchReachability(ctx context.Context) error {
 	for {
--- a/internal/tier/target/reachability_test.go
+++ b/internal/tier/target/reachability_test.go
@@ -16,7 +16,7 @@
 	"github.com/hickorynotch/hickorynotch/internal/world/directory"
 )
 
-// startTargets starts a number of targets and returns them with a pool that watches the way to them.
+// startTargets starts a number of targets and returns them with a pool that watches the path to them.
 func startTargets(n int) (targets []*fakeTarget, pool *target.Pool) {
 	pool = target.NewPool(codec, timer.New())
 	DeferCleanup(pool.Close)
@@ -55,7 +55,7 @@
 	return links[i].Send(call, &target.Cancel{})
 }
 
-var _ = Describe("The way to the targets", func() {
+var _ = Describe("Connectivity to the targets", func() {
 	It("is lost once all targets that are tried refuse connections, and does not make the targets count as crashed or failing afterwards", func() {
 		targets, pool := startTargets(0)
 		Expect(targets).To(BeEmpty())
--- a/internal/tier/target/target.go
+++ b/internal/tier/target/target.go
@@ -82,7 +82,7 @@
 	// limitedUntil is the time, as Unix nanoseconds, until which a rate limit that a target has named may be in force, or a target may want
 	// no requests or be cold.
 	limitedUntil atomic.Int64
-	// reach is the way to all targets. name distinguishes this instance from others.
+	// reach is the connectivity to all targets. name distinguishes this instance from others.
 	reach          *reach
 	name           string
 	onReachability func(reachability.State)
