--- a/internal/tier/control/evacuation_fleet_test.go
+++ b/internal/tier/control/evacuation_fleet_test.go
@@ -175,7 +175,8 @@
 			time.Sleep(time.Second)
 			late.storeCut.Store(false)
 		}
-		Eventually(late.configuration.Version, "3s", "10ms").ShouldNot(BeZero())
+		// It is set in the callback, after which the version can be read already.
+		Eventually(late.evacuatedAtStart.Load, "3s", "10ms").ShouldNot(BeNil())
 		Expect(*late.evacuatedAtStart.Load()).To(HaveExactElements("Thrissur"))
 		f.expectKept(3 * time.Second)
 	},
@@ -204,7 +205,7 @@
 		f.kill(leader)
 		f.settle()
 		f.startWith("late", func(late *followingInstance) { late.configurationCut.Store(true) })
-		Eventually(f.instances["late"].configuration.Version, "3s", "10ms").ShouldNot(BeZero())
+		Eventually(f.instances["late"].evacuatedAtStart.Load, "3s", "10ms").ShouldNot(BeNil())
 		Expect(*f.instances["late"].evacuatedAtStart.Load()).To(HaveExactElements("Thrissur"))
 		f.expectKept(time.Second)
 	})
